Set down the design, core types, objects and transport

Cause: the repository was empty. Change: the design page, build files, formatter and linter settings, the core types (strong ids, units, result codes, bounded ring, duty), the published objects, and the CivetWeb and JSON-RPC transport. Conclusion: the entry, the sidecar and the stand-ins can be built on this.

--- /dev/null
+++ b/src/bamboodock/config/config.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace bamboodock::config {
+
+/// Greatest age of the evidence that no newer configuration was accepted.
+inline constexpr std::chrono::milliseconds kFreshnessLimit{5000};
+
+/// Interval at which an entry reads the head row and a sidecar calls `sync`.
+inline constexpr std::chrono::milliseconds kSyncInterval{1000};
+
+/// An open hop without any message for this long is treated as lost.
+inline constexpr std::chrono::milliseconds kSilenceLimit{2000};
+
+/// A sidecar writes a billing record itself when its entry has not settled it within this time.
+inline constexpr std::chrono::milliseconds kSettleLimit{10000};
+
+/// Time that an attempt id is remembered after its deadline, so that late copies are rejected.
+inline constexpr std::chrono::milliseconds kAttemptMargin{30000};
+
+/// Longest time a process finishes open work after SIGTERM.
+inline constexpr std::chrono::milliseconds kGraceLimit{30000};
+
+/// Deadline of a request whose caller states none.
+inline constexpr std::chrono::milliseconds kDefaultDeadline{60000};
+
+/// Capacity of the ring between the reader and the writer of one stream, in messages.
+inline constexpr std::size_t kStreamRingCapacity = 256;
+
+/// Capacity of a duty's command ring.
+inline constexpr std::size_t kCommandRingCapacity = 4096;
+
+/// Billing records a process holds before it refuses new work.
+inline constexpr std::size_t kLedgerCapacity = 100000;
+
+/// Events kept in memory for the time line.
+inline constexpr std::size_t kTimelineCapacity = 16384;
+
+/// Largest accepted request body in bytes.
+inline constexpr std::size_t kMaxBodyBytes = 4U << 20U;
+
+}  // namespace bamboodock::config
--- /dev/null
+++ b/src/bamboodock/core/result.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <utility>
+
+#include "bamboodock/core/failure.h"
+
+namespace bamboodock {
+
+/// Value or a `Failure`, transported by Boost.LEAF.
+template <class T>
+using Result = boost::leaf::result<T>;
+
+/// Raises `failure`; return its value from a function that returns `Result`.
+inline boost::leaf::error_id Raise(Failure failure) {
+  return boost::leaf::new_error(std::move(failure));
+}
+
+inline boost::leaf::error_id Raise(ResultCode code, std::string detail,
+                                   RunState run = RunState::kNotRun) {
+  return Raise(Failure{code, std::move(detail), run, {}});
+}
+
+/// Runs `attempt`, which returns `Result<T>`, and turns a failure into a `T` by `on_failure`.
+template <class Attempt, class OnFailure>
+auto HandleFailure(Attempt&& attempt, OnFailure&& on_failure) {
+  return boost::leaf::try_handle_all(
+      std::forward<Attempt>(attempt), [&](const Failure& failure) { return on_failure(failure); },
+      [&] {
+        return on_failure(Failure{ResultCode::kInternal, "unclassified error"});
+      });
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/platform/ratings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result.h"
+#include "bamboodock/core/units.h"
+
+namespace bamboodock {
+
+/// Verdict of the rating service on one answer; arrives late or not at all.
+struct Rating {
+  std::uint64_t cursor = 0;
+  RequestId request;
+  ModelId model;
+  VersionId version;
+  std::string kind;
+  Ratio score;
+};
+
+class RatingQueries {
+ public:
+  virtual ~RatingQueries() = default;
+  /// Ratings after `cursor`, oldest first, at most `limit`.
+  virtual Result<std::vector<Rating>> After(std::uint64_t cursor, std::size_t limit) = 0;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/transport/address.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "bamboodock/core/result.h"
+
+namespace bamboodock {
+
+/// IP number and TCP port.
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  std::string ToString() const;
+  friend auto operator<=>(const Address&, const Address&) = default;
+};
+
+/// Parses "127.0.0.1:8080"; fails with `kBadSetting` on anything but an IPv4 number and a port.
+Result<Address> ParseAddress(std::string_view text);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/transport/http_client.cc
@@ -0,0 +1,101 @@
+#include "bamboodock/transport/http_client.h"
+
+#include <civetweb.h>
+
+#include <array>
+#include <utility>
+
+namespace bamboodock {
+namespace {
+
+constexpr std::size_t kErrorSize = 256;
+constexpr std::size_t kReadBlock = 16384;
+
+std::string Encode(const HttpRequest& request, const Address& peer) {
+  std::string text = request.method + " " + request.path;
+  if (!request.query.empty()) text += "?" + request.query;
+  text += " HTTP/1.1\r\nHost: " + peer.ToString() + "\r\nConnection: close\r\n";
+  for (const HttpHeader& header : request.headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+  return text + request.body;
+}
+
+int Milliseconds(Duration duration) {
+  return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+HttpStream::~HttpStream() {
+  if (connection_ != nullptr) mg_close_connection(connection_);
+}
+
+bool HttpStream::ReadLine(std::string& line) {
+  line.clear();
+  char byte = 0;
+  // A longer read would block until the buffer is full, which delays every token of a stream.
+  while (mg_read(connection_, &byte, 1) == 1) {
+    if (byte == '\n') return true;
+    line.push_back(byte);
+  }
+  return false;
+}
+
+Result<std::string> HttpStream::ReadAll(Bytes limit) {
+  std::string body;
+  std::array<char, kReadBlock> block{};
+  int count = 0;
+  while ((count = mg_read(connection_, block.data(), block.size())) > 0) {
+    body.append(block.data(), static_cast<std::size_t>(count));
+    if (body.size() > limit.value()) {
+      return Raise(ResultCode::kBodyTooLarge, "response body exceeds the limit", RunState::kRan);
+    }
+  }
+  const bool cut = content_length_ >= 0 && body.size() < static_cast<std::size_t>(content_length_);
+  if (count < 0 || cut) {
+    return Raise(ResultCode::kAnswerIncomplete, "response body ended early", RunState::kUnknown);
+  }
+  return body;
+}
+
+Result<std::unique_ptr<HttpStream>> HttpClient::Open(const HttpRequest& request,
+                                                     Duration timeout) const {
+  std::array<char, kErrorSize> error{};
+  mg_connection* connection =
+      mg_connect_client(peer_.ip.c_str(), peer_.port, 0, error.data(), error.size());
+  if (connection == nullptr) {
+    return Raise(ResultCode::kConnectionFailed, "cannot connect to " + peer_.ToString());
+  }
+  std::unique_ptr<HttpStream> stream(new HttpStream());
+  stream->connection_ = connection;
+  const std::string text = Encode(request, peer_);
+  if (mg_write(connection, text.data(), text.size()) <= 0) {
+    return Raise(ResultCode::kConnectionFailed, "cannot send to " + peer_.ToString(),
+                 RunState::kUnknown);
+  }
+  if (mg_get_response(connection, error.data(), error.size(), Milliseconds(timeout)) < 0) {
+    return Raise(ResultCode::kConnectionSilent, "no response from " + peer_.ToString(),
+                 RunState::kUnknown);
+  }
+  const mg_response_info& info = *mg_get_response_info(connection);
+  stream->status_ = info.status_code;
+  stream->content_length_ = info.content_length;
+  for (int i = 0; i < info.num_headers; ++i) {
+    stream->headers_.push_back({info.http_headers[i].name, info.http_headers[i].value});
+  }
+  return stream;
+}
+
+Result<HttpResponse> HttpClient::Call(const HttpRequest& request, Duration timeout) const {
+  constexpr Bytes kResponseLimit{64U << 20U};
+  BOOST_LEAF_AUTO(stream, Open(request, timeout));
+  HttpResponse response;
+  response.status = stream->status();
+  response.headers = stream->headers();
+  BOOST_LEAF_ASSIGN(response.body, stream->ReadAll(kResponseLimit));
+  return response;
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/transport/rpc_client.cc
@@ -0,0 +1,36 @@
+#include "bamboodock/transport/rpc_client.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "bamboodock/transport/rpc/rpc.h"
+
+namespace bamboodock {
+
+Result<nlohmann::json> RpcClient::Call(const std::string& method, const nlohmann::json& parameters,
+                                       Duration timeout) const {
+  Failure transport_failure{ResultCode::kConnectionFailed, "no response"};
+  const RpcTransport transport = [&](const std::string& request, std::string& response) {
+    return HandleFailure(
+        [&]() -> Result<bool> {
+          HttpRequest http;
+          http.method = "POST";
+          http.path = kRpcPath;
+          http.headers = {{"Content-Type", "application/json"}};
+          http.body = request;
+          BOOST_LEAF_AUTO(answer, http_.Call(http, timeout));
+          response = std::move(answer.body);
+          return answer.status == 200;
+        },
+        [&](const Failure& failure) {
+          transport_failure = failure;
+          return false;
+        });
+  };
+  const RpcOutcome outcome = CallRpc(transport, method, parameters.dump());
+  if (outcome.ok) return nlohmann::json::parse(outcome.result);
+  if (outcome.error_code == RpcOutcome::kTransportError) return Raise(transport_failure);
+  return Raise(ResultCode::kBadMessage, method + ": " + outcome.error_message);
+}
+
+}  // namespace bamboodock
