Add events, timeline, metrics and message codecs

Cause: the processes need their common parts before the first whole path. Measured: builds with warnings as errors; no test of its own yet. Conclusion: the entry and the sidecar can be written against these types.

--- /dev/null
+++ b/src/bamboodock/codec/attempt_message.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "bamboodock/core/failure.h"
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result.h"
+#include "bamboodock/core/units.h"
+#include "bamboodock/observe/hybrid_clock.h"
+#include "bamboodock/transport/http_types.h"
+
+namespace bamboodock {
+
+/// Kind of work of an attempt.
+enum class WorkKind : std::uint8_t { kChat, kCall };
+
+/// First message of an attempt.
+struct AttemptStartMessage {
+  AttemptId attempt;
+  RequestId request;
+  ClientAccountId account;
+  WorkKind kind = WorkKind::kChat;
+  ModelId model;
+  VersionId version;
+  ServiceId service;
+  StepNumber step;
+  /// Cost of earlier steps of the request.
+  CostMicros prior_cost;
+  Tokens prior_prompt;
+  Tokens prior_completion;
+  Epoch epoch;
+  /// Time left until the request's deadline.
+  std::chrono::milliseconds budget{0};
+  int priority = 1;
+  IdempotencyKey idempotency_key;
+  bool repeatable = true;
+  std::string method;
+  std::string path;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  EventTime sent_at;
+};
+
+/// Asks for the rest of an attempt's answer on a new connection.
+struct AttemptResumeMessage {
+  AttemptId attempt;
+  SequenceNumber next;
+};
+
+struct AttemptCancelMessage {
+  AttemptId attempt;
+};
+
+using EntryMessage = std::variant<AttemptStartMessage, AttemptResumeMessage, AttemptCancelMessage>;
+
+/// Sent every 500 ms when nothing else is sent.
+struct AliveMessage {};
+
+/// Status and headers of the answer.
+struct HeadMessage {
+  int status = 200;
+  std::vector<HttpHeader> headers;
+};
+
+struct ChunkMessage {
+  SequenceNumber sequence;
+  std::string data;
+};
+
+/// End of a whole answer.
+struct EndMessage {
+  /// Number of chunks of the answer.
+  SequenceNumber count;
+  Tokens prompt;
+  Tokens completion;
+  /// Cost of this step alone.
+  CostMicros cost;
+  /// Mean token probability; negative when the engine gave none.
+  Ratio confidence{-1.0};
+  EventTime sent_at;
+};
+
+/// Refusal or failure of an attempt.
+struct RefusedMessage {
+  Failure failure;
+  Epoch epoch;
+};
+
+using SidecarMessage =
+    std::variant<AliveMessage, HeadMessage, ChunkMessage, EndMessage, RefusedMessage>;
+
+std::string EncodeMessage(const EntryMessage& message);
+std::string EncodeMessage(const SidecarMessage& message);
+
+/// Decoders fail with `kBadMessage`.
+Result<EntryMessage> DecodeEntryMessage(std::string_view bytes);
+Result<SidecarMessage> DecodeSidecarMessage(std::string_view bytes);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/codec/control_message.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result.h"
+#include "bamboodock/core/units.h"
+
+namespace bamboodock {
+
+/// Cumulative counters on the answers of one version at one sidecar incarnation.
+struct EvidenceCounters {
+  ModelId model;
+  VersionId version;
+  std::uint64_t answers = 0;
+  std::uint64_t errors = 0;
+  std::uint64_t slow = 0;
+  std::uint64_t ratings = 0;
+  std::uint64_t bad_ratings = 0;
+};
+
+/// `sync`: load and evidence of an endpoint, sent by its sidecar.
+struct SyncRequest {
+  EndpointId endpoint;
+  IncarnationId incarnation;
+  Epoch epoch;
+  Concurrency in_flight;
+  Concurrency limit;
+  bool warm = false;
+  bool leaving = false;
+  /// Requests that the endpoint itself reports as running and queued.
+  Concurrency reported_load;
+  std::chrono::milliseconds report_age{0};
+  std::vector<EvidenceCounters> evidence;
+};
+
+/// Publication that is prepared and not known to be accepted or lost.
+struct PendingSet {
+  PublicationId publication;
+  Epoch epoch;
+  /// Encoded object set.
+  std::string set;
+};
+
+/// Answer of `sync` and `witness`: what the entry knows of the configuration.
+struct ConfigStatus {
+  HostId host;
+  Epoch epoch;
+  PublicationId publication;
+  /// Whether the entry has fresh evidence that no newer epoch was accepted.
+  bool fresh = false;
+  /// Age of that evidence.
+  std::chrono::milliseconds age{0};
+  /// Whether the entry attests that the store does not answer it and no newer epoch is prepared.
+  bool attests = false;
+  std::vector<PendingSet> pending;
+  /// Encoded object set; empty when the asker has it.
+  std::string set;
+};
+
+/// `witness`: one entry asks another.
+struct WitnessRequest {
+  HostId host;
+  Epoch epoch;
+};
+
+/// `prepare`: a publisher asks a witness to acknowledge the next epoch.
+struct PrepareRequest {
+  PendingSet pending;
+};
+
+struct PrepareResponse {
+  bool acknowledged = false;
+  Epoch epoch;
+};
+
+/// `announce`: an epoch was accepted.
+struct AnnounceRequest {
+  Epoch epoch;
+  PublicationId publication;
+  std::string set;
+};
+
+/// `settle`: these requests have a confirmed billing record.
+struct SettleRequest {
+  std::vector<RequestId> requests;
+};
+
+nlohmann::json ToJson(const SyncRequest& message);
+nlohmann::json ToJson(const ConfigStatus& message);
+nlohmann::json ToJson(const WitnessRequest& message);
+nlohmann::json ToJson(const PrepareRequest& message);
+nlohmann::json ToJson(const PrepareResponse& message);
+nlohmann::json ToJson(const AnnounceRequest& message);
+nlohmann::json ToJson(const SettleRequest& message);
+
+/// Decodes a control message; fails with `kBadMessage`.
+template <class Message>
+Result<Message> FromJson(const nlohmann::json& json);
+
+template <>
+Result<SyncRequest> FromJson<SyncRequest>(const nlohmann::json& json);
+template <>
+Result<ConfigStatus> FromJson<ConfigStatus>(const nlohmann::json& json);
+template <>
+Result<WitnessRequest> FromJson<WitnessRequest>(const nlohmann::json& json);
+template <>
+Result<PrepareRequest> FromJson<PrepareRequest>(const nlohmann::json& json);
+template <>
+Result<PrepareResponse> FromJson<PrepareResponse>(const nlohmann::json& json);
+template <>
+Result<AnnounceRequest> FromJson<AnnounceRequest>(const nlohmann::json& json);
+template <>
+Result<SettleRequest> FromJson<SettleRequest>(const nlohmann::json& json);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/observe/event.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace bamboodock {
+
+/// Numbered events of the log and the timeline; docs/events.md describes each.
+enum class Event : std::uint16_t {
+  // 1xx: process.
+  kStarted = 100,
+  kReady = 101,
+  kStopping = 102,
+  kStopped = 103,
+  kSettingsRejected = 104,
+  // 2xx: configuration.
+  kConfigInstalled = 200,
+  kPublishPrepared = 201,
+  kPublishAccepted = 202,
+  kPublishRefused = 203,
+  kFreshnessLost = 204,
+  kFreshnessRegained = 205,
+  kWitnessAttested = 206,
+  kVersionStopped = 207,
+  kPendingResolved = 208,
+  // 3xx: request at the entry.
+  kRequestAccepted = 300,
+  kRequestRefused = 301,
+  kStepPlanned = 302,
+  kAttemptSent = 303,
+  kAttemptRefusedByPeer = 304,
+  kAttemptResumed = 305,
+  kFirstByte = 306,
+  kAnswerChecked = 307,
+  kRequestFinished = 308,
+  kRequestFailed = 309,
+  kCallerLeft = 310,
+  kReattached = 311,
+  // 4xx: attempt at the sidecar.
+  kAttemptAdmitted = 400,
+  kAttemptRefused = 401,
+  kAttemptStarted = 402,
+  kAttemptFinished = 403,
+  kAttemptFailed = 404,
+  kAttemptCancelled = 405,
+  kClaimWritten = 406,
+  kClaimFound = 407,
+  kClaimFailed = 408,
+  kEngineSilent = 409,
+  kEndpointCold = 410,
+  kLateCopyRejected = 411,
+  // 5xx: billing.
+  kBillingHeld = 500,
+  kBillingWritten = 501,
+  kBillingSettled = 502,
+  kBillingTakenOver = 503,
+  // 6xx: parts outside.
+  kStoreFailed = 600,
+  kStoreBack = 601,
+  kPeerUnreachable = 602,
+  kOrderSent = 603,
+  kOrderRefused = 604,
+  kLeaseAcquired = 605,
+  kLeaseLost = 606,
+};
+
+/// Stable name of an event, for example "attempt_admitted".
+std::string_view Name(Event event);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/observe/latency_summary.cc
@@ -0,0 +1,38 @@
+#include "bamboodock/observe/latency_summary.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <array>
+
+namespace bamboodock {
+namespace {
+
+constexpr std::array<double, 3> kQuantiles{0.5, 0.95, 0.99};
+// The P-square estimate has no meaning below one sample for each of its markers.
+constexpr std::size_t kLeastSamples = 2 * kQuantiles.size() + 3;
+
+}  // namespace
+
+LatencySummary::LatencySummary()
+    : statistics_(boost::accumulators::tag::extended_p_square::probabilities = kQuantiles) {}
+
+void LatencySummary::Add(Duration duration) {
+  statistics_(std::chrono::duration<double>(duration).count());
+}
+
+std::string LatencySummary::Prometheus(const std::string& name, const std::string& labels) const {
+  const std::string separator = labels.empty() ? "" : ",";
+  std::string text = fmt::format("# TYPE {} summary\n", name);
+  const std::size_t count = boost::accumulators::count(statistics_);
+  if (count >= kLeastSamples) {
+    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+      text += fmt::format("{}{{{}{}quantile=\"{}\"}} {:.6f}\n", name, labels, separator,
+                          kQuantiles.at(i), boost::accumulators::extended_p_square(statistics_)[i]);
+    }
+  }
+  const std::string braces = labels.empty() ? "" : "{" + labels + "}";
+  text += fmt::format("{}_sum{} {:.6f}\n", name, braces, boost::accumulators::sum(statistics_));
+  return text + fmt::format("{}_count{} {}\n", name, braces, count);
+}
+
+}  // namespace bamboodock
