--- /dev/null
+++ b/src/bamboodock/policy/affinity_two_choices_chooser.cc
@@ -0,0 +1,55 @@
+#include "bamboodock/policy/affinity_two_choices_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bamboodock/policy/endpoint_candidates.h"
+#include "bamboodock/policy/two_choices_chooser.h"
+
+namespace bamboodock {
+namespace {
+
+/// Load above which a cached prefix no longer outweighs the longer queue.
+constexpr double kBound = 1.5;
+
+/// The first of the two endpoints of highest weight is kept unless the second is less loaded by
+/// this factor, so that requests of one prefix meet at one endpoint while load is light.
+constexpr double kPreference = 1.25;
+
+double MeanLoad(std::span<const EndpointView> endpoints,
+                const std::vector<std::size_t>& candidates) {
+  double load = 0;
+  double capacity = 0;
+  for (const std::size_t i : candidates) {
+    load += internal::EstimatedLoad(endpoints[i]) + 1;
+    capacity += endpoints[i].limit.value();
+  }
+  return load / capacity;
+}
+
+}  // namespace
+
+std::optional<std::size_t> AffinityTwoChoicesChooser::Choose(
+    std::span<const EndpointView> endpoints, const EndpointQuery& query, Random& random) {
+  const auto candidates = internal::Candidates(endpoints, random);
+  if (candidates.empty()) return std::nullopt;
+  if (candidates.size() == 1) return candidates.front();
+  if (query.affinity_key == 0) return TwoChoicesChooser().Choose(endpoints, query, random);
+  std::pair<std::uint64_t, std::size_t> first{0, candidates.front()};
+  std::pair<std::uint64_t, std::size_t> second = first;
+  for (const std::size_t i : candidates) {
+    std::pair entry{internal::RendezvousWeight(endpoints[i], query.affinity_key), i};
+    if (entry > first) std::swap(entry, first);
+    if (entry > second) second = entry;
+  }
+  const double first_load = internal::RelativeLoad(endpoints[first.second]);
+  const double second_load = internal::RelativeLoad(endpoints[second.second]);
+  const bool keep_first = first_load <= second_load * kPreference;
+  const double load = keep_first ? first_load : second_load;
+  if (load <= kBound * MeanLoad(endpoints, candidates)) {
+    return keep_first ? first.second : second.second;
+  }
+  return TwoChoicesChooser().Choose(endpoints, query, random);
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/affinity_two_choices_chooser.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "bamboodock/policy/endpoint_chooser.h"
+
+namespace bamboodock {
+
+/// Picks the less loaded of the two endpoints of highest rendezvous weight for the affinity key;
+/// when that one is far above the mean load, the less loaded of two random endpoints.
+class AffinityTwoChoicesChooser final : public EndpointChooser {
+ public:
+  std::optional<std::size_t> Choose(std::span<const EndpointView> endpoints,
+                                    const EndpointQuery& query, Random& random) override;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/backoff.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "bamboodock/core/units.h"
+#include "bamboodock/policy/random.h"
+
+namespace bamboodock {
+
+/// Exponential backoff with full jitter.
+class Backoff {
+ public:
+  /// @param base Upper bound of the first delay.
+  /// @param cap Upper bound of every delay.
+  Backoff(Duration base, Duration cap) : base_(base), cap_(cap) {}
+
+  /// Delay before retry `retry`, counted from 0: uniform between zero and the bound of that retry.
+  Duration Delay(StepNumber retry, Random& random) const;
+
+ private:
+  Duration base_;
+  Duration cap_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/endpoint_candidates.cc
@@ -0,0 +1,50 @@
+#include "bamboodock/policy/endpoint_candidates.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace bamboodock::internal {
+namespace {
+
+bool HasRoom(const EndpointView& endpoint) { return endpoint.in_flight < endpoint.limit; }
+
+}  // namespace
+
+std::vector<std::size_t> Candidates(std::span<const EndpointView> endpoints, Random& random) {
+  // One draw for the whole choice, so that a returning zone is either open to a request or not.
+  const double draw = random.Uniform();
+  std::vector<std::size_t> within_share;
+  std::vector<std::size_t> with_room;
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    if (!HasRoom(endpoints[i])) continue;
+    with_room.push_back(i);
+    if (draw < endpoints[i].zone_share.value()) within_share.push_back(i);
+  }
+  return within_share.empty() ? with_room : within_share;
+}
+
+double EstimatedLoad(const EndpointView& endpoint) {
+  return std::max(endpoint.in_flight.value(), endpoint.reported_load.value());
+}
+
+double RelativeLoad(const EndpointView& endpoint) {
+  return (EstimatedLoad(endpoint) + 1) / std::max(1U, endpoint.limit.value());
+}
+
+std::size_t LessLoaded(std::span<const EndpointView> endpoints, const EndpointQuery& query,
+                       std::size_t a, std::size_t b) {
+  const double load_a = RelativeLoad(endpoints[a]);
+  const double load_b = RelativeLoad(endpoints[b]);
+  if (load_a < load_b) return a;
+  if (load_b < load_a) return b;
+  return endpoints[b].availability_zone == query.local_zone ? b : a;
+}
+
+std::uint64_t RendezvousWeight(const EndpointView& endpoint, std::uint64_t key) {
+  const std::string& id = endpoint.id.value();
+  return XXH3_64bits_withSeed(id.data(), id.size(), key);
+}
+
+}  // namespace bamboodock::internal
--- /dev/null
+++ b/src/bamboodock/policy/random_chooser.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "bamboodock/policy/endpoint_chooser.h"
+
+namespace bamboodock {
+
+/// Picks uniformly among the endpoints with room.
+class RandomChooser final : public EndpointChooser {
+ public:
+  std::optional<std::size_t> Choose(std::span<const EndpointView> endpoints,
+                                    const EndpointQuery& query, Random& random) override;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/rendezvous_chooser.cc
@@ -0,0 +1,36 @@
+#include "bamboodock/policy/rendezvous_chooser.h"
+
+#include "bamboodock/policy/endpoint_candidates.h"
+
+namespace bamboodock {
+
+std::optional<std::size_t> RendezvousChooser::Choose(std::span<const EndpointView> endpoints,
+                                                     const EndpointQuery& query, Random& random) {
+  const auto candidates = internal::Candidates(endpoints, random);
+  if (candidates.empty()) return std::nullopt;
+  const std::uint64_t key = query.affinity_key == 0 ? random() : query.affinity_key;
+  double load = 0;
+  double capacity = 0;
+  for (const std::size_t i : candidates) {
+    load += internal::EstimatedLoad(endpoints[i]);
+    capacity += endpoints[i].limit.value();
+  }
+  const double mean = (load + 1) / capacity;
+  std::optional<std::size_t> best;
+  std::size_t least = candidates.front();
+  std::uint64_t best_weight = 0;
+  for (const std::size_t i : candidates) {
+    least = internal::LessLoaded(endpoints, query, least, i);
+    // One attempt is always allowed, as the bound is below one place when load is light.
+    const double room = bound_ * mean * endpoints[i].limit.value();
+    if (internal::EstimatedLoad(endpoints[i]) >= std::max(1.0, room)) continue;
+    const std::uint64_t weight = internal::RendezvousWeight(endpoints[i], key);
+    if (!best || weight > best_weight) {
+      best = i;
+      best_weight = weight;
+    }
+  }
+  return best ? best : least;
+}
+
+}  // namespace bamboodock
