--- a/src/bamboodock/codec/attempt_message.cc
+++ b/src/bamboodock/codec/attempt_message.cc
@@ -52,7 +52,8 @@
           {"prior_prompt", m.prior_prompt.value()},
           {"prior_completion", m.prior_completion.value()},
           {"epoch", m.epoch.value()},
-          {"budget_ms", m.budget.count()},
+          {"incarnation", m.incarnation.value()},
+          {"deadline", m.deadline.time_since_epoch().count()},
           {"priority", m.priority},
           {"idempotency_key", Binary(m.idempotency_key.value())},
           {"repeatable", m.repeatable},
@@ -71,6 +72,12 @@
   return {{"type", "cancel"}, {"attempt", m.attempt.value()}};
 }
 
+Json ToJson(const HelloMessage& m) {
+  return {{"type", "hello"},
+          {"incarnation", m.incarnation.value()},
+          {"clock", m.clock.time_since_epoch().count()}};
+}
+
 Json ToJson(const AliveMessage& /*m*/) { return {{"type", "alive"}}; }
 
 Json ToJson(const HeadMessage& m) {
@@ -114,7 +121,8 @@
   m.prior_prompt = Tokens(json.at("prior_prompt"));
   m.prior_completion = Tokens(json.at("prior_completion"));
   m.epoch = Epoch(json.at("epoch"));
-  m.budget = std::chrono::milliseconds(json.at("budget_ms"));
+  m.incarnation = IncarnationId(json.at("incarnation"));
+  m.deadline = MonotonicTime(Duration(json.at("deadline")));
   m.priority = json.at("priority");
   m.idempotency_key = IdempotencyKey(Text(json.at("idempotency_key")));
   m.repeatable = json.at("repeatable");
@@ -160,6 +168,10 @@
 
 Result<SidecarMessage> SidecarMessageFrom(const Json& json) {
   const std::string type = json.at("type");
+  if (type == "hello") {
+    return SidecarMessage(HelloMessage{IncarnationId(json.at("incarnation")),
+                                       MonotonicTime(Duration(json.at("clock")))});
+  }
   if (type == "alive") return SidecarMessage(AliveMessage{});
   if (type == "head") {
     return SidecarMessage(HeadMessage{json.at("status"), DecodeHeaders(json.at("headers"))});
--- a/src/bamboodock/codec/attempt_message.h
+++ b/src/bamboodock/codec/attempt_message.h
@@ -32,8 +32,10 @@
   Tokens prior_prompt;
   Tokens prior_completion;
   Epoch epoch;
-  /// Time left until the request's deadline.
-  std::chrono::milliseconds budget{0};
+  /// Incarnation of the sidecar, from its hello.
+  IncarnationId incarnation;
+  /// Deadline on the sidecar's clock, reckoned from its hello; so a delayed copy expires as well.
+  MonotonicTime deadline;
   int priority = 1;
   IdempotencyKey idempotency_key;
   bool repeatable = true;
@@ -56,6 +58,13 @@
 
 using EntryMessage = std::variant<AttemptStartMessage, AttemptResumeMessage, AttemptCancelMessage>;
 
+/// First message on every connection.
+struct HelloMessage {
+  IncarnationId incarnation;
+  /// The sidecar's clock when it sent the message.
+  MonotonicTime clock;
+};
+
 /// Sent every 500 ms when nothing else is sent.
 struct AliveMessage {};
 
@@ -90,7 +99,7 @@
 };
 
 using SidecarMessage =
-    std::variant<AliveMessage, HeadMessage, ChunkMessage, EndMessage, RefusedMessage>;
+    std::variant<HelloMessage, AliveMessage, HeadMessage, ChunkMessage, EndMessage, RefusedMessage>;
 
 std::string EncodeMessage(const EntryMessage& message);
 std::string EncodeMessage(const SidecarMessage& message);
--- a/src/bamboodock/codec/control_message.cc
+++ b/src/bamboodock/codec/control_message.cc
@@ -78,6 +78,7 @@
           {"fresh", m.fresh},
           {"age_ms", m.age.count()},
           {"attests", m.attests},
+          {"complete", m.complete},
           {"pending", ListToJson(m.pending)},
           {"set", m.set}};
 }
@@ -89,7 +90,10 @@
 Json ToJson(const PrepareRequest& m) { return {{"pending", ToJson(m.pending)}}; }
 
 Json ToJson(const PrepareResponse& m) {
-  return {{"acknowledged", m.acknowledged}, {"epoch", m.epoch.value()}};
+  return {{"acknowledged", m.acknowledged},
+          {"epoch", m.epoch.value()},
+          {"host", m.host.value()},
+          {"incarnation", m.incarnation.value()}};
 }
 
 Json ToJson(const AnnounceRequest& m) {
@@ -127,6 +131,7 @@
     m.fresh = json.at("fresh");
     m.age = std::chrono::milliseconds(json.at("age_ms"));
     m.attests = json.at("attests");
+    m.complete = json.at("complete");
     for (const Json& entry : json.at("pending")) m.pending.push_back(PendingFrom(entry));
     m.set = json.at("set");
   });
@@ -151,6 +156,8 @@
   return Guard<PrepareResponse>([&](PrepareResponse& m) {
     m.acknowledged = json.at("acknowledged");
     m.epoch = Epoch(json.at("epoch"));
+    m.host = HostId(json.at("host"));
+    m.incarnation = IncarnationId(json.at("incarnation"));
   });
 }
 
--- a/src/bamboodock/codec/control_message.h
+++ b/src/bamboodock/codec/control_message.h
@@ -53,8 +53,11 @@
   bool fresh = false;
   /// Age of that evidence.
   std::chrono::milliseconds age{0};
-  /// Whether the entry attests that the store does not answer it and no newer epoch is prepared.
+  /// Whether the entry attests, as a witness, that the store does not answer it and that `pending`
+  /// names every prepare above its epoch.
   bool attests = false;
+  /// Whether the entry remembers every prepare that it acknowledged and that is not settled.
+  bool complete = false;
   std::vector<PendingSet> pending;
   /// Encoded object set; empty when the asker has it.
   std::string set;
@@ -74,6 +77,8 @@
 struct PrepareResponse {
   bool acknowledged = false;
   Epoch epoch;
+  HostId host;
+  IncarnationId incarnation;
 };
 
 /// `announce`: an epoch was accepted.
--- /dev/null
+++ b/src/bamboodock/command/sidecar/admission_duty.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "bamboodock/codec/attempt_message.h"
+#include "bamboodock/codec/control_message.h"
+#include "bamboodock/command/config/config_duty.h"
+#include "bamboodock/command/ledger/ledger_duty.h"
+#include "bamboodock/command/sidecar/answer_log.h"
+#include "bamboodock/command/sidecar/sender_duty.h"
+#include "bamboodock/command/sidecar/work.h"
+#include "bamboodock/core/duty.h"
+#include "bamboodock/observe/latency_summary.h"
+#include "bamboodock/observe/timeline.h"
+#include "bamboodock/policy/admission_ramp.h"
+#include "bamboodock/policy/attempt_registry.h"
+
+namespace bamboodock {
+
+struct StartCommand {
+  AttemptStartMessage message;
+  Ref<SenderDuty> sender;
+};
+
+struct ResumeCommand {
+  AttemptResumeMessage message;
+  Ref<SenderDuty> sender;
+};
+
+struct CancelCommand {
+  AttemptId attempt;
+};
+
+/// The attempt ended before its request was sent to the endpoint.
+struct WithdrawCommand {
+  AttemptId attempt;
+  Failure failure;
+};
+
+/// The attempt ended without a call, with an answer that is already in its log.
+struct AnsweredCommand {
+  AttemptId attempt;
+};
+
+/// Load as the endpoint reports it.
+struct LoadReportCommand {
+  bool reachable = false;
+  bool warm = false;
+  Concurrency load;
+  std::chrono::milliseconds age{0};
+};
+
+/// The process leaves: no new work.
+struct LeaveCommand {};
+
+using AdmissionCommand = std::variant<StartCommand, ResumeCommand, CancelCommand, WithdrawCommand,
+                                      AnsweredCommand, WorkOutcome, LoadReportCommand,
+                                      LeaveCommand>;
+
+/// State of admission at one moment, for queries and `sync`.
+class AdmissionSnapshot : public RefCounted<AdmissionSnapshot> {
+ public:
+  Concurrency in_flight;
+  Concurrency limit;
+  bool warm = false;
+  bool leaving = false;
+  Concurrency reported_load;
+  std::chrono::milliseconds report_age{0};
+  std::vector<EvidenceCounters> evidence;
+  std::string metrics;
+};
+
+/// Receives admitted work: the runner pool, or the claim duty before it.
+class WorkQueue {
+ public:
+  virtual ~WorkQueue() = default;
+  /// False when the queue is full.
+  virtual bool Accept(Work work) = 0;
+};
+
+/// Owner of the attempts of an endpoint: admission, registry, ramp and evidence.
+class AdmissionDuty : public Duty<AdmissionDuty, AdmissionCommand> {
+ public:
+  struct Parts {
+    EndpointId endpoint;
+    IncarnationId incarnation;
+    ConfigDuty& config;
+    LedgerDuty& ledger;
+    TimelineDuty& timeline;
+    WorkQueue& runners;
+    WorkQueue& claims;
+  };
+
+  explicit AdmissionDuty(Parts parts);
+  ~AdmissionDuty() { Stop(); }
+
+  Ref<const AdmissionSnapshot> snapshot() const { return snapshot_.Load(); }
+  /// Waits until no attempt is open; false when `deadline` passes first.
+  bool WaitIdle(MonotonicTime deadline) const;
+
+  void Handle(AdmissionCommand& command);
+  MonotonicTime Tick();
+
+ private:
+  void Apply(StartCommand& command);
+  void Apply(ResumeCommand& command);
+  void Apply(CancelCommand& command);
+  void Apply(WithdrawCommand& command);
+  void Apply(AnsweredCommand& command);
+  void Apply(WorkOutcome& outcome);
+  void Apply(LoadReportCommand& command);
+  void Apply(LeaveCommand& command);
+
+  /// Why the attempt may not run now, or nothing.
+  std::optional<Failure> Check(const AttemptStartMessage& message) const;
+  void Admit(StartCommand& command);
+  void Refuse(const StartCommand& command, const Failure& failure);
+  void AnswerKnown(const StartCommand& command, const AttemptDecision& decision);
+  void SendRefusal(const Ref<SenderDuty>& sender, const AttemptId& attempt, Failure failure);
+  void FailSilentEngines(MonotonicTime now);
+  EvidenceCounters& Evidence(const ModelId& model, const VersionId& version);
+  void FitRamp();
+  void Publish();
+
+  Parts parts_;
+  AttemptRegistry registry_;
+  std::optional<AdmissionRamp> ramp_;
+  Concurrency cold_limit_;
+  Concurrency warm_limit_;
+  /// Logs of attempts until their deadline plus margin.
+  std::unordered_map<AttemptId, Ref<AnswerLog>> logs_;
+  std::multimap<MonotonicTime, AttemptId> log_expiry_;
+  std::unordered_map<AttemptId, Ref<AnswerLog>> open_;
+  std::map<std::pair<ModelId, VersionId>, EvidenceCounters> evidence_;
+  LatencySummary first_token_;
+  std::uint64_t admitted_ = 0;
+  std::uint64_t refused_ = 0;
+  bool leaving_ = false;
+  LoadReportCommand report_;
+  SnapshotCell<AdmissionSnapshot> snapshot_;
+};
+
+}  // namespace bamboodock
--- a/src/bamboodock/config/config.h
+++ b/src/bamboodock/config/config.h
@@ -26,6 +26,24 @@
 /// Deadline of a request whose caller states none.
 inline constexpr std::chrono::milliseconds kDefaultDeadline{60000};
 
+/// A connection with an open answer carries a message at least this often.
+inline constexpr std::chrono::milliseconds kAliveInterval{500};
+
+/// An engine that sends nothing for this long is treated as failed; a cold engine needs seconds.
+inline constexpr std::chrono::milliseconds kEngineSilenceLimit{10000};
+
+/// Limit of one question to the platform's store or to a peer.
+inline constexpr std::chrono::milliseconds kControlTimeout{800};
+
+/// Largest answer that a sidecar keeps for resumption, in bytes.
+inline constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+
+/// First token later than this does not count as evidence of a warm endpoint.
+inline constexpr std::chrono::milliseconds kFirstTokenTarget{1200};
+
+/// Attempts that a sidecar remembers.
+inline constexpr std::size_t kRegistryCapacity = 65536;
+
 /// Capacity of the ring between the reader and the writer of one stream, in messages.
 inline constexpr std::size_t kStreamRingCapacity = 256;
 
--- a/src/bamboodock/transport/message_channel.cc
+++ b/src/bamboodock/transport/message_channel.cc
@@ -18,8 +18,10 @@
 }  // namespace
 
 Result<std::unique_ptr<MessageChannel>> MessageChannel::Connect(const Address& peer,
-                                                                const std::string& path) {
+                                                                const std::string& path,
+                                                                std::shared_ptr<MessageRing> ring) {
   std::unique_ptr<MessageChannel> channel(new MessageChannel());
+  channel->ring_ = std::move(ring);
   std::array<char, kErrorSize> error{};
   channel->connection_ =
       mg_connect_websocket_client(peer.ip.c_str(), peer.port, 0, error.data(), error.size(),
--- a/src/bamboodock/transport/message_channel.h
+++ b/src/bamboodock/transport/message_channel.h
@@ -25,9 +25,10 @@
   MessageChannel(const MessageChannel&) = delete;
   MessageChannel& operator=(const MessageChannel&) = delete;
 
-  /// Connects to `ws://peer/path`; fails with `kConnectionFailed`.
+  /// Connects to `ws://peer/path` and sends messages to `ring`; fails with `kConnectionFailed`.
   static Result<std::unique_ptr<MessageChannel>> Connect(const Address& peer,
-                                                         const std::string& path);
+                                                         const std::string& path,
+                                                         std::shared_ptr<MessageRing> ring);
 
   /// Sends later messages to `ring`; null discards them. A closed channel closes the ring.
   void Receive(std::shared_ptr<MessageRing> ring);
