Add the pure protocol rules

Cause: entries and sidecars need one implementation of the decisions on freshness, publication, attempts, claims, billing, answer streams and leases, apart from I/O and encoding. Change: policy/ holds one class per rule.

--- /dev/null
+++ b/src/bamboodock/policy/publication_rule.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result_code.h"
+#include "bamboodock/core/units.h"
+
+namespace bamboodock {
+
+/// Next action of a publisher.
+enum class PublicationStep : std::uint8_t {
+  /// Read `publications/<id>`: the id may have been used before.
+  kReadPublication,
+  /// Read `head`.
+  kReadHead,
+  /// Put the set into the object store under its hash.
+  kPutObject,
+  /// Send `prepare` to every witness.
+  kPrepare,
+  /// Send `prepare` again to the witnesses that acknowledged it.
+  kConfirmPrepare,
+  /// One transaction: head from `base()` to `next()` and insert `publications/<id>`.
+  kCommit,
+  /// The commit's answer was lost: read `publications/<id>` and `head`.
+  kReadBack,
+  kAccepted,
+  kConflict,
+  /// Not accepted, with the reason in `failure()`.
+  kFailed,
+  /// The store does not tell the outcome; repeating the same id is harmless.
+  kUnknown,
+};
+
+/// Row `publications/<id>` or the publication named by `head`.
+struct AcceptedPublication {
+  PublicationId id;
+  Epoch epoch;
+};
+
+/// Outcome of a commit as far as the publisher can tell.
+enum class CommitOutcome : std::uint8_t { kCommitted, kConflict, kNotSent, kAnswerLost };
+
+/// Steps of one publication; the caller carries out `step()` and reports the outcome.
+///
+/// A witness may restart between its acknowledgement and the commit and recover from witnesses
+/// that had not yet acknowledged. The second round excludes this: acknowledgements count only when
+/// the same incarnation repeats them after a majority acknowledged the first round.
+class PublicationRule {
+ public:
+  PublicationRule(PublicationId id, std::vector<HostId> witnesses);
+
+  PublicationStep step() const { return step_; }
+  const PublicationId& id() const { return id_; }
+  Epoch base() const { return base_; }
+  Epoch next() const { return base_.Next(); }
+  /// The publication that won a race, when `step()` is kConflict.
+  const PublicationId& winner() const { return winner_; }
+  /// Epoch at which this publication was accepted, when `step()` is kAccepted.
+  Epoch accepted() const { return accepted_; }
+  ResultCode failure() const { return failure_; }
+
+  /// Outcome of kReadPublication; empty when the id was never accepted.
+  void OnPublication(const std::optional<AcceptedPublication>& row);
+  /// Outcome of kReadHead. `expected` is the epoch on which the operator based the set.
+  void OnHead(const AcceptedPublication& head, std::optional<Epoch> expected);
+  void OnObjectPut();
+  /// Answer of a witness to kPrepare or kConfirmPrepare, in any order.
+  void OnPrepareAnswer(const HostId& witness, const IncarnationId& incarnation, bool acknowledged);
+  /// All witnesses answered or timed out; fails the publication without a majority.
+  void OnPrepareEnd();
+  /// @param winner The publication in `head` after a conflict.
+  void OnCommit(CommitOutcome outcome, const PublicationId& winner);
+  /// Outcome of kReadBack. The head must be read before the row: when the head has moved, a commit
+  /// that has not yet arrived cannot take effect, so a row that is then absent stays absent.
+  void OnReadBack(const std::optional<AcceptedPublication>& row, const AcceptedPublication& head);
+  /// The store or object store did not answer the current step, and this is final.
+  void OnStoreUnavailable();
+
+ private:
+  void Fail(ResultCode code);
+  std::size_t Majority() const { return witnesses_.size() / 2 + 1; }
+
+  PublicationId id_;
+  std::vector<HostId> witnesses_;
+  std::unordered_map<HostId, IncarnationId> prepared_;
+  std::unordered_map<HostId, IncarnationId> confirmed_;
+  PublicationId winner_;
+  Epoch base_;
+  Epoch accepted_;
+  bool answer_lost_ = false;
+  PublicationStep step_ = PublicationStep::kReadPublication;
+  ResultCode failure_ = ResultCode::kOk;
+};
+
+}  // namespace bamboodock
