Add the duties of the sidecar

Cause: admission, claims, billing and answers need an owner each. Change: admission, claim, ledger, sender, sync and endpoint watch duties, the runner pool and the answer log; rows and chat events in the codec. Conclusion: each piece of state has one thread that owns it.

--- a/src/bamboodock/codec/control_message.cc
+++ b/src/bamboodock/codec/control_message.cc
@@ -101,9 +101,7 @@
 }
 
 Json ToJson(const SettleRequest& m) {
-  Json requests = Json::array();
-  for (const RequestId& request : m.requests) requests.push_back(request.value());
-  return {{"requests", std::move(requests)}};
+  return {{"request", m.request.value()}, {"step", m.step.value()}};
 }
 
 template <>
@@ -173,7 +171,8 @@
 template <>
 Result<SettleRequest> FromJson<SettleRequest>(const Json& json) {
   return Guard<SettleRequest>([&](SettleRequest& m) {
-    for (const Json& request : json.at("requests")) m.requests.emplace_back(request);
+    m.request = RequestId(json.at("request"));
+    m.step = StepNumber(json.at("step"));
   });
 }
 
--- a/src/bamboodock/codec/control_message.h
+++ b/src/bamboodock/codec/control_message.h
@@ -88,9 +88,10 @@
   std::string set;
 };
 
-/// `settle`: these requests have a confirmed billing record.
+/// `settle`: the billing record of a request is confirmed up to a step.
 struct SettleRequest {
-  std::vector<RequestId> requests;
+  RequestId request;
+  StepNumber step;
 };
 
 nlohmann::json ToJson(const SyncRequest& message);
--- /dev/null
+++ b/src/bamboodock/codec/load_report.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "bamboodock/core/result.h"
+#include "bamboodock/core/units.h"
+
+namespace bamboodock {
+
+/// Load as an endpoint reports it at `/load`.
+struct LoadReport {
+  Concurrency running;
+  Concurrency queued;
+  bool warm = true;
+  std::chrono::milliseconds age{0};
+};
+
+/// Fails with `kBadMessage`; a field that is missing keeps its default.
+Result<LoadReport> DecodeLoadReport(const std::string& text);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/codec/row_codec.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result.h"
+#include "bamboodock/policy/billing_record.h"
+#include "bamboodock/policy/claim_rule.h"
+
+namespace bamboodock {
+
+/// Row `head`: the accepted configuration.
+struct HeadRow {
+  Epoch epoch;
+  PublicationId publication;
+  ObjectHash object;
+};
+
+inline constexpr const char* kHeadKey = "head";
+std::string PublicationKey(const PublicationId& id);
+std::string BillingKey(const RequestId& id);
+/// The key of the caller is hashed, so that its length and bytes do not matter.
+std::string ClaimKey(const ClientAccountId& account, const IdempotencyKey& key);
+std::string LeaseKey(const EndpointId& endpoint);
+
+std::string EncodeRow(const HeadRow& row);
+std::string EncodeRow(const BillingRecord& row);
+std::string EncodeRow(const ClaimRow& row);
+
+/// Decoders fail with `kBadMessage`.
+Result<HeadRow> DecodeHeadRow(const std::string& text);
+Result<BillingRecord> DecodeBillingRow(const std::string& text);
+Result<ClaimRow> DecodeClaimRow(const std::string& text);
+
+}  // namespace bamboodock
--- a/src/bamboodock/command/ledger/ledger_duty.h
+++ b/src/bamboodock/command/ledger/ledger_duty.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -23,6 +25,7 @@
 /// The other holder has confirmed the record of a request.
 struct SettledCommand {
   RequestId request;
+  StepNumber step;
 };
 
 using LedgerCommand = std::variant<HoldRecordCommand, SettledCommand>;
@@ -31,7 +34,7 @@
 class SettlementListener {
  public:
   virtual ~SettlementListener() = default;
-  virtual void OnConfirmed(const RequestId& request, const EndpointId& endpoint) = 0;
+  virtual void OnConfirmed(const BillingRecord& record, const EndpointId& endpoint) = 0;
 };
 
 /// Owner of the billing records of a process that are not confirmed yet.
@@ -67,7 +70,7 @@
   /// Reads the row and writes the record if it is missing or of a lower step.
   BillingNext Write(const BillingRecord& record);
   void Confirm(const BillingRecord& record);
-  void Forget(const RequestId& request);
+  void Forget(const RequestId& request, StepNumber step);
 
   Parts parts_;
   BillingRule rule_;
--- /dev/null
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -0,0 +1,278 @@
+#include "bamboodock/command/sidecar/admission_duty.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "bamboodock/policy/permission.h"
+
+namespace bamboodock {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{250};
+constexpr std::chrono::milliseconds kRefusalRetry{200};
+
+WorkQuery QueryFor(const AttemptStartMessage& message, const EndpointId& endpoint) {
+  WorkQuery query;
+  query.account = message.account;
+  query.endpoint = endpoint;
+  query.model = message.model;
+  query.version = message.version;
+  query.service = message.service;
+  // Whether a session is new is decided at the entry, which checks the signed pin.
+  query.continues_session = true;
+  return query;
+}
+
+}  // namespace
+
+AdmissionDuty::AdmissionDuty(Parts parts)
+    : parts_(parts),
+      registry_(parts.incarnation, config::kRegistryCapacity, config::kAttemptMargin) {
+  Publish();
+}
+
+bool AdmissionDuty::WaitIdle(MonotonicTime deadline) const {
+  return snapshot_.WaitUntil(
+      deadline, [](const AdmissionSnapshot& s) { return s.leaving && s.in_flight.value() == 0; });
+}
+
+void AdmissionDuty::Handle(AdmissionCommand& command) {
+  std::visit([this](auto& c) { Apply(c); }, command);
+  Publish();
+}
+
+MonotonicTime AdmissionDuty::Tick() {
+  const auto now = std::chrono::steady_clock::now();
+  registry_.Expire(now);
+  while (!log_expiry_.empty() && log_expiry_.begin()->first < now) {
+    logs_.erase(log_expiry_.begin()->second);
+    log_expiry_.erase(log_expiry_.begin());
+  }
+  FitRamp();
+  FailSilentEngines(now);
+  Publish();
+  return now + kTickInterval;
+}
+
+void AdmissionDuty::Apply(StartCommand& command) {
+  AttemptStart start;
+  start.attempt = command.message.attempt;
+  start.incarnation = command.message.incarnation;
+  start.deadline = command.message.deadline;
+  const AttemptDecision decision = registry_.Start(start, std::chrono::steady_clock::now());
+  if (decision.verdict != AttemptVerdict::kStart) {
+    AnswerKnown(command, decision);
+    return;
+  }
+  if (const std::optional<Failure> failure = Check(command.message)) {
+    registry_.Withdraw(start.attempt, failure->code);
+    Refuse(command, *failure);
+    return;
+  }
+  Admit(command);
+}
+
+void AdmissionDuty::Apply(ResumeCommand& command) {
+  const auto found = logs_.find(command.message.attempt);
+  if (found != logs_.end()) {
+    command.sender->Post(SendCommand{found->second, command.message.next});
+    return;
+  }
+  const AttemptDecision decision = registry_.Look(command.message.attempt);
+  SendRefusal(command.sender, command.message.attempt,
+              Failure{decision.code == ResultCode::kOk ? ResultCode::kAttemptUnknown
+                                                       : decision.code,
+                      "the answer is not held here", decision.run});
+}
+
+void AdmissionDuty::Apply(CancelCommand& command) {
+  const auto found = open_.find(command.attempt);
+  if (found == open_.end()) return;
+  found->second->Cancel();
+  parts_.timeline.Record(Event::kAttemptCancelled, RequestId(), command.attempt.value());
+}
+
+void AdmissionDuty::Apply(WithdrawCommand& command) {
+  registry_.Withdraw(command.attempt, command.failure.code);
+  const auto found = open_.find(command.attempt);
+  if (found == open_.end()) return;
+  RefusedMessage refused{command.failure, parts_.config.snapshot()->epoch()};
+  found->second->Finish(EncodeMessage(SidecarMessage(std::move(refused))));
+  open_.erase(found);
+  ramp_->Cancelled();
+  parts_.ledger.CancelReservation();
+}
+
+void AdmissionDuty::Apply(AnsweredCommand& command) {
+  registry_.Finish(command.attempt);
+  if (open_.erase(command.attempt) == 0) return;
+  ramp_->Cancelled();
+  parts_.ledger.CancelReservation();
+}
+
+void AdmissionDuty::Apply(WorkOutcome& outcome) {
+  registry_.Finish(outcome.attempt);
+  if (open_.erase(outcome.attempt) == 0) return;
+  if (outcome.cancelled) {
+    ramp_->Cancelled();
+  } else {
+    ramp_->Finished(outcome.first_token, outcome.ok);
+    first_token_.Add(outcome.first_token);
+  }
+  if (outcome.version.empty() || outcome.cancelled) return;
+  EvidenceCounters& evidence = Evidence(outcome.model, outcome.version);
+  ++evidence.answers;
+  if (!outcome.ok) ++evidence.errors;
+  if (outcome.first_token > config::kFirstTokenTarget) ++evidence.slow;
+}
+
+void AdmissionDuty::Apply(LoadReportCommand& command) {
+  const bool turned_cold = report_.warm && (!command.reachable || !command.warm);
+  report_ = command;
+  if (!turned_cold || !ramp_) return;
+  ramp_->TurnedCold();
+  parts_.timeline.Record(Event::kEndpointCold, RequestId(), parts_.endpoint.value());
+}
+
+void AdmissionDuty::Apply(LeaveCommand& /*command*/) { leaving_ = true; }
+
+std::optional<Failure> AdmissionDuty::Check(const AttemptStartMessage& message) const {
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  if (leaving_) return Failure{ResultCode::kEndpointLeaving, "the endpoint leaves"};
+  if (config->set() == nullptr || !ramp_) {
+    return Failure{ResultCode::kNoConfiguration, "no configuration is known here"};
+  }
+  if (message.epoch > config->epoch()) {
+    return Failure{ResultCode::kStaleEpoch, "the sidecar has not caught up with the entry"};
+  }
+  if (!config->IsFresh(std::chrono::steady_clock::now())) {
+    return Failure{ResultCode::kNotFresh, "no evidence that the configuration is the newest"};
+  }
+  const WorkQuery query = QueryFor(message, parts_.endpoint);
+  std::optional<Failure> failure = CheckPermission(*config->set(), query);
+  for (const PublishedSet& pending : config->pending()) {
+    if (!failure) failure = CheckPermission(*pending.set, query);
+  }
+  return failure;
+}
+
+void AdmissionDuty::Admit(StartCommand& command) {
+  const AttemptId attempt = command.message.attempt;
+  const auto refuse = [&](ResultCode code, const char* detail) {
+    registry_.Withdraw(attempt, code);
+    Refuse(command, Failure{code, detail, RunState::kNotRun, kRefusalRetry});
+  };
+  if (!ramp_->TryAdmit()) return refuse(ResultCode::kEndpointAtLimit, "the endpoint is at its limit");
+  if (!parts_.ledger.TryReserve()) {
+    ramp_->Cancelled();
+    return refuse(ResultCode::kLedgerFull, "too many billing records are not confirmed");
+  }
+  Work work;
+  work.log = MakeRef<AnswerLog>(attempt);
+  work.needs_claim = !command.message.repeatable;
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  const Version* version = config->set()->Find(command.message.model, command.message.version);
+  if (version != nullptr) work.version = *version;
+  work.start = command.message;
+
+  const Ref<AnswerLog> log = work.log;
+  WorkQueue& queue = work.needs_claim ? parts_.claims : parts_.runners;
+  if (!queue.Accept(std::move(work))) {
+    ramp_->Cancelled();
+    parts_.ledger.CancelReservation();
+    return refuse(ResultCode::kRingFull, "the queue of the endpoint is full");
+  }
+  ++admitted_;
+  open_[attempt] = log;
+  logs_[attempt] = log;
+  log_expiry_.emplace(command.message.deadline + config::kAttemptMargin, attempt);
+  command.sender->Post(SendCommand{log, SequenceNumber(0)});
+  parts_.timeline.Record(Event::kAttemptAdmitted, command.message.request,
+                         fmt::format("attempt={} endpoint={}", attempt.value(),
+                                     parts_.endpoint.value()));
+}
+
+void AdmissionDuty::Refuse(const StartCommand& command, const Failure& failure) {
+  ++refused_;
+  parts_.timeline.Record(Event::kAttemptRefused, command.message.request,
+                         fmt::format("attempt={} code={}", command.message.attempt.value(),
+                                     Name(failure.code)));
+  SendRefusal(command.sender, command.message.attempt, failure);
+}
+
+void AdmissionDuty::AnswerKnown(const StartCommand& command, const AttemptDecision& decision) {
+  const auto found = logs_.find(command.message.attempt);
+  const bool resumable = decision.verdict == AttemptVerdict::kAlreadyRunning ||
+                         decision.verdict == AttemptVerdict::kFinished;
+  if (resumable && found != logs_.end()) {
+    command.sender->Post(SendCommand{found->second, SequenceNumber(0)});
+    return;
+  }
+  if (decision.verdict == AttemptVerdict::kLateCopy) {
+    parts_.timeline.Record(Event::kLateCopyRejected, command.message.request,
+                           command.message.attempt.value());
+  }
+  Refuse(command, Failure{decision.code, "the attempt may not start", decision.run});
+}
+
+void AdmissionDuty::SendRefusal(const Ref<SenderDuty>& sender, const AttemptId& attempt,
+                                Failure failure) {
+  auto log = MakeRef<AnswerLog>(attempt);
+  RefusedMessage refused{std::move(failure), parts_.config.snapshot()->epoch()};
+  log->Finish(EncodeMessage(SidecarMessage(std::move(refused))));
+  sender->Post(SendCommand{log, SequenceNumber(0)});
+}
+
+void AdmissionDuty::FailSilentEngines(MonotonicTime now) {
+  for (const auto& [attempt, log] : open_) {
+    if (log->finished() || now - log->progress() < config::kEngineSilenceLimit) continue;
+    parts_.timeline.Record(Event::kEngineSilent, RequestId(), attempt.value());
+    log->Cancel();
+    const Failure failure{ResultCode::kConnectionSilent, "the endpoint sends nothing",
+                          RunState::kUnknown};
+    log->Finish(EncodeMessage(SidecarMessage(RefusedMessage{failure, Epoch()})));
+  }
+}
+
+EvidenceCounters& AdmissionDuty::Evidence(const ModelId& model, const VersionId& version) {
+  EvidenceCounters& evidence = evidence_[{model, version}];
+  evidence.model = model;
+  evidence.version = version;
+  return evidence;
+}
+
+void AdmissionDuty::FitRamp() {
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  if (config->set() == nullptr) return;
+  const Endpoint* endpoint = config->set()->Find(parts_.endpoint);
+  if (endpoint == nullptr) return;
+  if (ramp_ && (!open_.empty() || (cold_limit_ == endpoint->cold_limit &&
+                                   warm_limit_ == endpoint->warm_limit))) {
+    return;
+  }
+  // New limits take effect at a moment without open attempts, since the ramp counts them.
+  cold_limit_ = endpoint->cold_limit;
+  warm_limit_ = endpoint->warm_limit;
+  ramp_.emplace(cold_limit_, warm_limit_, config::kFirstTokenTarget);
+}
+
+void AdmissionDuty::Publish() {
+  auto snapshot = MakeRef<AdmissionSnapshot>();
+  if (ramp_) {
+    snapshot->in_flight = ramp_->in_flight();
+    snapshot->limit = ramp_->limit();
+  }
+  snapshot->warm = report_.warm;
+  snapshot->leaving = leaving_;
+  snapshot->reported_load = report_.load;
+  snapshot->report_age = report_.age;
+  for (const auto& [key, counters] : evidence_) snapshot->evidence.push_back(counters);
+  snapshot->admitted = admitted_;
+  snapshot->refused = refused_;
+  snapshot->first_token = first_token_;
+  snapshot_.Store(snapshot);
+}
+
+}  // namespace bamboodock
--- a/src/bamboodock/command/sidecar/admission_duty.h
+++ b/src/bamboodock/command/sidecar/admission_duty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -70,7 +71,9 @@
   Concurrency reported_load;
   std::chrono::milliseconds report_age{0};
   std::vector<EvidenceCounters> evidence;
-  std::string metrics;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+  LatencySummary first_token;
 };
 
 /// Receives admitted work: the runner pool, or the claim duty before it.
