--- /dev/null
+++ b/src/bamboodock/codec/object_set_codec.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bamboodock/core/ref_counted.h"
+#include "bamboodock/objects/object_set.h"
+#include "bamboodock/objects/set_error.h"
+
+namespace bamboodock {
+
+/// Largest accepted text of an object set; 3,700 endpoints take about 1 MB.
+inline constexpr std::size_t kMaxObjectSetBytes = 4U << 20U;
+
+/// Errors listed at most, so that a malformed text cannot exhaust memory.
+inline constexpr std::size_t kMaxSetErrors = 1000;
+
+/// Outcome of decoding: a set without errors, or errors and no set.
+struct DecodedObjectSet {
+  Ref<const ObjectSet> set;
+  std::vector<SetError> errors;
+};
+
+/// JSON of a set: sorted keys, no spaces, objects in the order of the set; equal sets give equal
+/// texts.
+std::string EncodeObjectSet(const ObjectSet& set);
+
+/// JSON of one object, as it stands in its array of the set.
+std::string EncodeObject(const ClientAccount& account);
+std::string EncodeObject(const Model& model);
+std::string EncodeObject(const Version& version);
+std::string EncodeObject(const Cascade& cascade);
+std::string EncodeObject(const AvailabilityZone& zone);
+std::string EncodeObject(const Endpoint& endpoint);
+
+/// Decodes a set and collects every error of form: unknown, missing and repeated fields, wrong
+/// types, numbers out of range. References are left to the checker.
+DecodedObjectSet DecodeObjectSet(std::string_view text);
+
+/// Lower-case name used in JSON.
+std::string_view Name(VersionStage stage);
+std::string_view Name(EndpointKind kind);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/objects/set_error.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace bamboodock {
+
+/// Fault found in an object set.
+struct SetError {
+  /// Kind and id of the object, for example "endpoint nile-e1"; "set" for the set as a whole.
+  std::string object;
+  /// Path of the field within the object, for example "models[0].versions[1]"; may be empty.
+  std::string field;
+  std::string message;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/codec/object_set_codec_test.cc
@@ -0,0 +1,137 @@
+#include "bamboodock/codec/object_set_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "bamboodock/objects/object_set_diff.h"
+#include "fakes/sample_set.h"
+
+namespace bamboodock {
+namespace {
+
+std::string Replace(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  CPPUNIT_ASSERT_MESSAGE("text lacks " + from, at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+bool Contains(const std::vector<SetError>& errors, const std::string& object,
+              const std::string& field) {
+  for (const SetError& error : errors) {
+    if (error.object == object && error.field == field) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+class ObjectSetCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ObjectSetCodecTest);
+  CPPUNIT_TEST(RoundTripKeepsEveryField);
+  CPPUNIT_TEST(EqualSetsGiveEqualTexts);
+  CPPUNIT_TEST(CollectsEveryErrorWithObjectAndField);
+  CPPUNIT_TEST(RejectsNumbersOutOfRange);
+  CPPUNIT_TEST(RejectsRepeatedFields);
+  CPPUNIT_TEST(TruncatedTextGivesOneError);
+  CPPUNIT_TEST(OversizedTextGivesOneError);
+  CPPUNIT_TEST(BoundsTheNumberOfErrors);
+  CPPUNIT_TEST(RejectsDeepNesting);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a field that is written but not read, or the reverse.
+  void RoundTripKeepsEveryField() {
+    SampleParts parts;
+    parts.account.rate = RequestRate(2.5);
+    parts.account.priority = 3;
+    parts.dear.stage = VersionStage::kNoNewSessions;
+    parts.zone.drained = true;
+    parts.engine.checks_fencing = true;
+    parts.cascade.max_steps = StepNumber(3);
+    const Ref<const ObjectSet> set = parts.Build();
+    const DecodedObjectSet decoded = DecodeObjectSet(EncodeObjectSet(*set));
+    CPPUNIT_ASSERT(decoded.errors.empty());
+    CPPUNIT_ASSERT(DiffObjectSets(*set, *decoded.set).empty());
+    CPPUNIT_ASSERT(decoded.set->Find(AvailabilityZoneId("west"))->drained);
+    CPPUNIT_ASSERT_EQUAL(2.5, decoded.set->accounts().at(0).rate.value());
+  }
+
+  // Guards against hashes of the same set that differ between processes.
+  void EqualSetsGiveEqualTexts() {
+    const std::string text = EncodeObjectSet(*SampleParts().Build());
+    CPPUNIT_ASSERT_EQUAL(text, EncodeObjectSet(*DecodeObjectSet(text).set));
+  }
+
+  // Guards against an operator who fixes one error per publication.
+  void CollectsEveryErrorWithObjectAndField() {
+    std::string text = EncodeObjectSet(*SampleParts().Build());
+    text = Replace(text, R"("drained":false)", R"("drained":"no","colour":1)");
+    text = Replace(text, R"("kind":"engine")", R"("kind":"motor")");
+    text = Replace(text, R"("share":0.9)", R"("share":"0.9")");
+    text = Replace(text, R"("cost_per_1k_prompt":100)", R"("cost_per_1k_prompt":1.5)");
+    text = Replace(text, R"("id":"summary-auto",)", "");
+    const DecodedObjectSet decoded = DecodeObjectSet(text);
+    CPPUNIT_ASSERT(decoded.set == nullptr);
+    CPPUNIT_ASSERT(Contains(decoded.errors, "availability_zone west", "drained"));
+    CPPUNIT_ASSERT(Contains(decoded.errors, "availability_zone west", "colour"));
+    CPPUNIT_ASSERT(Contains(decoded.errors, "endpoint engine-1", "kind"));
+    CPPUNIT_ASSERT(Contains(decoded.errors, "model summary", "shares[0].share"));
+    CPPUNIT_ASSERT(Contains(decoded.errors, "version summary@summary-1", "cost_per_1k_prompt"));
+    CPPUNIT_ASSERT(Contains(decoded.errors, "cascade #0", "id"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, decoded.errors.size());
+  }
+
+  // Guards against numbers that wrap when stored in a smaller or unsigned type.
+  void RejectsNumbersOutOfRange() {
+    const std::string text = EncodeObjectSet(*SampleParts().Build());
+    for (const char* number : {"-1", "0", "4294967297", "18446744073709551617", "1e400"}) {
+      const DecodedObjectSet decoded = DecodeObjectSet(
+          Replace(text, R"("warm_limit":32)", std::string(R"("warm_limit":)") + number));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(number, std::size_t{1}, decoded.errors.size());
+    }
+  }
+
+  // Guards against a repeated field whose first value is silently ignored.
+  void RejectsRepeatedFields() {
+    const std::string text = EncodeObjectSet(*SampleParts().Build());
+    const DecodedObjectSet decoded =
+        DecodeObjectSet(Replace(text, R"("drained":false)", R"("drained":true,"drained":false)"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.errors.size());
+    CPPUNIT_ASSERT(Contains(decoded.errors, "set", "drained"));
+  }
+
+  // Guards against a torn read of the store that is taken for a smaller set.
+  void TruncatedTextGivesOneError() {
+    const std::string text = EncodeObjectSet(*SampleParts().Build());
+    for (std::size_t length = 0; length < text.size(); ++length) {
+      const DecodedObjectSet decoded = DecodeObjectSet(std::string_view(text).substr(0, length));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.errors.size());
+      CPPUNIT_ASSERT(decoded.errors[0].message.starts_with("JSON text is truncated"));
+    }
+  }
+
+  // Guards against memory exhaustion by one message.
+  void OversizedTextGivesOneError() {
+    const DecodedObjectSet decoded = DecodeObjectSet(std::string(kMaxObjectSetBytes + 1, ' '));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.errors.size());
+  }
+
+  // Guards against an error list that is far larger than the text.
+  void BoundsTheNumberOfErrors() {
+    std::string text = R"({"accounts":[0)";
+    for (int i = 0; i < 5000; ++i) text += ",0";
+    text += R"(],"models":[],"versions":[],"cascades":[],"availability_zones":[],"endpoints":[]})";
+    CPPUNIT_ASSERT_EQUAL(kMaxSetErrors + 1, DecodeObjectSet(text).errors.size());
+  }
+
+  // Guards against memory spent on values that no field can hold.
+  void RejectsDeepNesting() {
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    const DecodedObjectSet decoded = DecodeObjectSet(deep);
+    CPPUNIT_ASSERT(decoded.set == nullptr);
+    CPPUNIT_ASSERT(!decoded.errors.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectSetCodecTest);
+
+}  // namespace bamboodock
