Add version choice, quality estimates and the roll-out guard

Cause: cascades, roll-outs and the return of an availability zone need their decisions as pure code. Change: VersionChooser strategies, QualityTable (discounted Beta posterior), AnswerCheck, SequentialTest and RolloutGuard over mergeable VersionEvidence, ZoneRamp, Shedding; tests for all policy code.

--- /dev/null
+++ b/src/bamboodock/policy/cheapest_step_chooser.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "bamboodock/policy/version_chooser.h"
+
+namespace bamboodock {
+
+/// Runs only the cheapest step.
+class CheapestStepChooser final : public VersionChooser {
+ public:
+  std::optional<std::size_t> Next(const VersionQuery& query, Random& random) const override;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/evidence_counters.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+
+namespace bamboodock {
+
+/// Cumulative counts of one version's answers at one source.
+struct EvidenceCounters {
+  std::uint64_t answers = 0;
+  std::uint64_t errors = 0;
+  std::uint64_t slow = 0;
+  std::uint64_t ratings = 0;
+  std::uint64_t bad_ratings = 0;
+
+  friend bool operator==(const EvidenceCounters&, const EvidenceCounters&) = default;
+
+  /// Counts of two sources together.
+  EvidenceCounters& operator+=(const EvidenceCounters& other) {
+    answers += other.answers;
+    errors += other.errors;
+    slow += other.slow;
+    ratings += other.ratings;
+    bad_ratings += other.bad_ratings;
+    return *this;
+  }
+
+  /// The newer of two reports of one source; counts only rise, so order does not matter.
+  static EvidenceCounters Newer(const EvidenceCounters& a, const EvidenceCounters& b) {
+    return {std::max(a.answers, b.answers), std::max(a.errors, b.errors), std::max(a.slow, b.slow),
+            std::max(a.ratings, b.ratings), std::max(a.bad_ratings, b.bad_ratings)};
+  }
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/quality.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "bamboodock/core/units.h"
+
+namespace bamboodock {
+
+/// Estimated share of good answers with its standard deviation.
+struct Quality {
+  Ratio mean{0.0};
+  Ratio deviation{0.0};
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/version_chooser.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+
+#include "bamboodock/policy/random.h"
+#include "bamboodock/policy/version_query.h"
+
+namespace bamboodock {
+
+/// Strategy that picks the next step of a request through a cascade.
+class VersionChooser {
+ public:
+  virtual ~VersionChooser() = default;
+  /// Index into `query.steps`. Empty means stop: the last answer, if any, is delivered, and a
+  /// request without an answer is refused.
+  virtual std::optional<std::size_t> Next(const VersionQuery& query, Random& random) const = 0;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/policy/admission_ramp_test.cc
@@ -0,0 +1,96 @@
+#include "bamboodock/policy/admission_ramp.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace bamboodock {
+
+class AdmissionRampTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionRampTest);
+  CPPUNIT_TEST(ColdEndpointTakesNoMoreThanColdLimit);
+  CPPUNIT_TEST(GrowsToWarmLimitAndNotBeyond);
+  CPPUNIT_TEST(FallsBackOnEachSignOfCold);
+  CPPUNIT_TEST(AnswersFromBeforeTheFallAreNoEvidence);
+  CPPUNIT_TEST(RepeatedColdReportsDoNotBlockGrowth);
+  CPPUNIT_TEST(UnusedLimitDoesNotGrow);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against full load on an endpoint that has just started.
+  void ColdEndpointTakesNoMoreThanColdLimit() {
+    CPPUNIT_ASSERT(ramp_.TryAdmit());
+    CPPUNIT_ASSERT(ramp_.TryAdmit());
+    CPPUNIT_ASSERT(!ramp_.TryAdmit());
+    ramp_.Cancelled();
+    CPPUNIT_ASSERT(ramp_.TryAdmit());
+    CPPUNIT_ASSERT_EQUAL(Concurrency(2), ramp_.in_flight());
+  }
+
+  // Guards against a limit that never reaches, or exceeds, what the endpoint can do.
+  void GrowsToWarmLimitAndNotBeyond() {
+    Warm();
+    CPPUNIT_ASSERT_EQUAL(Concurrency(8), ramp_.limit());
+  }
+
+  // Guards against full load on an endpoint that turned cold without notice.
+  void FallsBackOnEachSignOfCold() {
+    Warm();
+    ramp_.TurnedCold();
+    CPPUNIT_ASSERT_EQUAL(Concurrency(2), ramp_.limit());
+    Warm();
+    Answer(kInTime, false);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(2), ramp_.limit());
+    Warm();
+    Answer(kTarget * AdmissionRamp::kSlowFactor + Duration(1), true);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(2), ramp_.limit());
+  }
+
+  // Guards against growth by streams that began while the endpoint was still warm.
+  void AnswersFromBeforeTheFallAreNoEvidence() {
+    Warm();
+    while (ramp_.TryAdmit()) {
+    }
+    ramp_.TurnedCold();
+    for (int i = 0; i < 8; ++i) ramp_.Finished(kInTime, true);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(2), ramp_.limit());
+    Answer(kInTime, true);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(3), ramp_.limit());
+  }
+
+  // Guards against a report of "cold", repeated each second, that discards all new evidence.
+  void RepeatedColdReportsDoNotBlockGrowth() {
+    CPPUNIT_ASSERT(ramp_.TryAdmit());
+    ramp_.TurnedCold();
+    ramp_.Finished(kInTime, true);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(3), ramp_.limit());
+  }
+
+  // Guards against a high limit that single requests at a quiet hour have not tested.
+  void UnusedLimitDoesNotGrow() {
+    for (int i = 0; i < 20; ++i) Answer(kInTime, true);
+    CPPUNIT_ASSERT_EQUAL(Concurrency(3), ramp_.limit());
+  }
+
+ private:
+  static constexpr Duration kTarget = std::chrono::milliseconds(100);
+  static constexpr Duration kInTime = std::chrono::milliseconds(50);
+
+  void Answer(Duration first_token, bool ok) {
+    CPPUNIT_ASSERT(ramp_.TryAdmit());
+    ramp_.Finished(first_token, ok);
+  }
+
+  void Warm() {
+    for (int i = 0; i < 20; ++i) {
+      while (ramp_.TryAdmit()) {
+      }
+      ramp_.Finished(kInTime, true);
+    }
+    while (ramp_.in_flight() > Concurrency(0)) ramp_.Cancelled();
+  }
+
+  AdmissionRamp ramp_{Concurrency(2), Concurrency(8), kTarget};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionRampTest);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/policy/quality_table_test.cc
@@ -0,0 +1,67 @@
+#include "bamboodock/policy/quality_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "bamboodock/policy/answer_check.h"
+#include "bamboodock/policy/mean_token_probability.h"
+
+namespace bamboodock {
+
+class QualityTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QualityTableTest);
+  CPPUNIT_TEST(RatingsOutweighPrior);
+  CPPUNIT_TEST(WithoutRatingsMeanStaysAndUncertaintyGrows);
+  CPPUNIT_TEST(NewPriorKeepsEvidence);
+  CPPUNIT_TEST(CheckUsesConfidence);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { table_.SetPrior(kKey, Ratio(0.9)); }
+
+  // Guards against a stated quality that live ratings never correct.
+  void RatingsOutweighPrior() {
+    const double before = table_.QualityOf(kKey, now_).deviation.value();
+    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(i % 2 == 0 ? 1.0 : 0.0), now_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.54, table_.QualityOf(kKey, now_).mean.value(), 0.02);
+    CPPUNIT_ASSERT(table_.QualityOf(kKey, now_).deviation.value() < before);
+  }
+
+  // Guards against a jump back to the prior while the rating service is down.
+  void WithoutRatingsMeanStaysAndUncertaintyGrows() {
+    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(1.0), now_);
+    const Quality before = table_.QualityOf(kKey, now_);
+    const Quality after = table_.QualityOf(kKey, now_ + std::chrono::hours(72));
+    CPPUNIT_ASSERT_EQUAL(before.mean, after.mean);
+    CPPUNIT_ASSERT(after.deviation > before.deviation);
+  }
+
+  // Guards against a publication that erases what was learnt.
+  void NewPriorKeepsEvidence() {
+    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(0.0), now_);
+    table_.SetPrior(kKey, Ratio(0.9));
+    CPPUNIT_ASSERT(table_.QualityOf(kKey, now_).mean < Ratio(0.2));
+  }
+
+  // Guards against delivery of an empty or unsure answer, and against a second call for every
+  // request of an engine without log probabilities.
+  void CheckUsesConfidence() {
+    const AnswerCheck check(Ratio(0.8));
+    MeanTokenProbability sure;
+    sure.Add(0.0);
+    MeanTokenProbability unsure = sure;
+    unsure.Add(-3.0);
+    CPPUNIT_ASSERT(check.Check({Tokens(5), sure.Mean()}) == AnswerVerdict::kAccept);
+    CPPUNIT_ASSERT(check.Check({Tokens(5), unsure.Mean()}) == AnswerVerdict::kEscalate);
+    CPPUNIT_ASSERT(check.Check({Tokens(5), std::nullopt}) == AnswerVerdict::kAccept);
+    CPPUNIT_ASSERT(check.Check({Tokens(0), sure.Mean()}) == AnswerVerdict::kEscalate);
+  }
+
+ private:
+  const QualityKey kKey{VersionId("v"), RequestKind("k"), false};
+  QualityTable table_;
+  MonotonicTime now_{std::chrono::hours(1)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QualityTableTest);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/policy/version_strategy_test.cc
@@ -0,0 +1,102 @@
+#include "bamboodock/policy/version_strategy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace bamboodock {
+
+class VersionChooserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(VersionChooserTest);
+  CPPUNIT_TEST(CascadeTakesCheapestSufficientPlan);
+  CPPUNIT_TEST(UncertainStepIsNotTrusted);
+  CPPUNIT_TEST(DeadlineBoundsEscalation);
+  CPPUNIT_TEST(OverloadStopsEscalation);
+  CPPUNIT_TEST(EveryStrategyEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    steps_ = {Step("s", 10, 1, 0.80), Step("m", 30, 2, 0.93), Step("l", 100, 4, 0.97)};
+    query_.steps = steps_;
+    query_.quality_target = Ratio(0.9);
+    query_.remaining = std::chrono::seconds(60);
+  }
+
+  // Guards against paying for the best version where a cheaper one is sufficient.
+  void CascadeTakesCheapestSufficientPlan() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Next().value());
+    steps_[0].quality.mean = Ratio(0.95);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Next().value());
+    query_.quality_target = Ratio(0.99);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Next().value());
+  }
+
+  // Guards against a cheap version whose few good ratings are chance.
+  void UncertainStepIsNotTrusted() {
+    steps_[1].quality.deviation = Ratio(0.05);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Next().value());
+    query_.overload = OverloadLevel::kElevated;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Next().value());
+  }
+
+  // Guards against a second step that cannot end before the caller gives up.
+  void DeadlineBoundsEscalation() {
+    query_.rejected = 1;
+    query_.steps_taken = StepNumber(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Next().value());
+    query_.remaining = std::chrono::seconds(3);
+    CPPUNIT_ASSERT(!Next().has_value());
+  }
+
+  // Guards against escalations that add load to a service without room.
+  void OverloadStopsEscalation() {
+    query_.overload = OverloadLevel::kSevere;
+    query_.rejected = 0;
+    query_.steps_taken = StepNumber(1);
+    CPPUNIT_ASSERT(!Next().has_value());
+  }
+
+  // Guards against a request that goes round in its cascade.
+  void EveryStrategyEnds() {
+    for (const VersionStrategy strategy : kVersionStrategies) {
+      const auto chooser = MakeVersionChooser(strategy);
+      VersionQuery query = query_;
+      while (const auto next = chooser->Next(query, random_)) {
+        CPPUNIT_ASSERT(*next < steps_.size());
+        query.rejected = *next;
+        query.steps_taken = query.steps_taken.Next();
+        CPPUNIT_ASSERT(query.steps_taken <= query.max_steps);
+      }
+      CPPUNIT_ASSERT(query.steps_taken > StepNumber(0));
+      query.steps = {};
+      query.rejected.reset();
+      CPPUNIT_ASSERT(!chooser->Next(query, random_).has_value());
+    }
+  }
+
+ private:
+  static StepOption Step(const char* id, std::uint64_t cost, int seconds, double quality) {
+    const Quality estimate{Ratio(quality), Ratio(0.01)};
+    return {VersionId(id), CostMicros(cost), std::chrono::seconds(seconds),
+            estimate,      estimate,         Ratio(0.8)};
+  }
+
+  /// Most frequent choice, since a few requests are trials.
+  std::optional<std::size_t> Next() {
+    const auto chooser = MakeVersionChooser();
+    std::vector<int> counts(steps_.size() + 1);
+    for (int i = 0; i < 100; ++i) ++counts[chooser->Next(query_, random_).value_or(steps_.size())];
+    const auto most = std::max_element(counts.begin(), counts.end()) - counts.begin();
+    if (static_cast<std::size_t>(most) == steps_.size()) return std::nullopt;
+    return static_cast<std::size_t>(most);
+  }
+
+  std::vector<StepOption> steps_;
+  VersionQuery query_;
+  Random random_{1};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VersionChooserTest);
+
+}  // namespace bamboodock
