--- a/src/bamboodock/command/config/config_duty.cc
+++ b/src/bamboodock/command/config/config_duty.cc
@@ -46,9 +46,9 @@
   current_ = std::move(command.set);
   freshness_.Install(epoch);
   ReleaseSettled();
-  timeline_.Record(Event::kConfigInstalled, RequestId(),
-                   "epoch=" + std::to_string(epoch.value()) +
-                       " publication=" + current_.publication.value());
+  timeline_.Record(
+      Event::kConfigInstalled, RequestId(),
+      "epoch=" + std::to_string(epoch.value()) + " publication=" + current_.publication.value());
 }
 
 void ConfigDuty::Apply(ConfirmCommand& command) {
@@ -65,9 +65,9 @@
 
 void ConfigDuty::Apply(PrepareCommand& command) {
   const PendingPublication publication{command.set.publication, command.set.epoch};
-  const bool known =
-      std::any_of(pending_.begin(), pending_.end(),
-                  [&](const PublishedSet& set) { return set.publication == publication.id; });
+  const bool known = std::any_of(pending_.begin(), pending_.end(), [&](const PublishedSet& set) {
+    return set.publication == publication.id;
+  });
   // The set is held before the acknowledgement leaves, so that an attestation never omits it.
   bool acknowledged = known || Hold(command.set);
   acknowledged = acknowledged && witness_.Acknowledge(publication.id, publication.next);
--- a/src/bamboodock/command/sidecar/admission_duty.cc
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -81,10 +81,10 @@
     return;
   }
   const AttemptDecision decision = registry_.Look(command.message.attempt);
-  SendRefusal(command.sender, command.message.attempt,
-              Failure{decision.code == ResultCode::kOk ? ResultCode::kAttemptUnknown
-                                                       : decision.code,
-                      "the answer is not held here", decision.run});
+  SendRefusal(
+      command.sender, command.message.attempt,
+      Failure{decision.code == ResultCode::kOk ? ResultCode::kAttemptUnknown : decision.code,
+              "the answer is not held here", decision.run});
 }
 
 void AdmissionDuty::Apply(CancelCommand& command) {
@@ -164,7 +164,8 @@
     registry_.Withdraw(attempt, code);
     Refuse(command, Failure{code, detail, RunState::kNotRun, kRefusalRetry});
   };
-  if (!ramp_->TryAdmit()) return refuse(ResultCode::kEndpointAtLimit, "the endpoint is at its limit");
+  if (!ramp_->TryAdmit())
+    return refuse(ResultCode::kEndpointAtLimit, "the endpoint is at its limit");
   if (!parts_.ledger.TryReserve()) {
     ramp_->Cancelled();
     return refuse(ResultCode::kLedgerFull, "too many billing records are not confirmed");
@@ -189,16 +190,16 @@
   logs_[attempt] = log;
   log_expiry_.emplace(command.message.deadline + config::kAttemptMargin, attempt);
   command.sender->Post(SendCommand{log, SequenceNumber(0)});
-  parts_.timeline.Record(Event::kAttemptAdmitted, command.message.request,
-                         fmt::format("attempt={} endpoint={}", attempt.value(),
-                                     parts_.endpoint.value()));
+  parts_.timeline.Record(
+      Event::kAttemptAdmitted, command.message.request,
+      fmt::format("attempt={} endpoint={}", attempt.value(), parts_.endpoint.value()));
 }
 
 void AdmissionDuty::Refuse(const StartCommand& command, const Failure& failure) {
   ++refused_;
-  parts_.timeline.Record(Event::kAttemptRefused, command.message.request,
-                         fmt::format("attempt={} code={}", command.message.attempt.value(),
-                                     Name(failure.code)));
+  parts_.timeline.Record(
+      Event::kAttemptRefused, command.message.request,
+      fmt::format("attempt={} code={}", command.message.attempt.value(), Name(failure.code)));
   SendRefusal(command.sender, command.message.attempt, failure);
 }
 
@@ -248,8 +249,8 @@
   if (config->set() == nullptr) return;
   const Endpoint* endpoint = config->set()->Find(parts_.endpoint);
   if (endpoint == nullptr) return;
-  if (ramp_ && (!open_.empty() || (cold_limit_ == endpoint->cold_limit &&
-                                   warm_limit_ == endpoint->warm_limit))) {
+  if (ramp_ && (!open_.empty() ||
+                (cold_limit_ == endpoint->cold_limit && warm_limit_ == endpoint->warm_limit))) {
     return;
   }
   // New limits take effect at a moment without open attempts, since the ramp counts them.
--- a/src/bamboodock/command/sidecar/admission_duty.h
+++ b/src/bamboodock/command/sidecar/admission_duty.h
@@ -57,9 +57,9 @@
 /// The process leaves: no new work.
 struct LeaveCommand {};
 
-using AdmissionCommand = std::variant<StartCommand, ResumeCommand, CancelCommand, WithdrawCommand,
-                                      AnsweredCommand, WorkOutcome, LoadReportCommand,
-                                      LeaveCommand>;
+using AdmissionCommand =
+    std::variant<StartCommand, ResumeCommand, CancelCommand, WithdrawCommand, AnsweredCommand,
+                 WorkOutcome, LoadReportCommand, LeaveCommand>;
 
 /// State of admission at one moment, for queries and `sync`.
 class AdmissionSnapshot : public RefCounted<AdmissionSnapshot> {
--- a/src/bamboodock/command/sidecar/claim_duty.cc
+++ b/src/bamboodock/command/sidecar/claim_duty.cc
@@ -32,8 +32,9 @@
 }
 
 MonotonicTime ClaimDuty::Tick() {
-  std::erase_if(releases_,
-                [this](const Release& release) { return ReleaseRow(release.key, release.attempt); });
+  std::erase_if(releases_, [this](const Release& release) {
+    return ReleaseRow(release.key, release.attempt);
+  });
   return std::chrono::steady_clock::now() + kReleaseInterval;
 }
 
--- a/src/bamboodock/command/sidecar/runner_pool.cc
+++ b/src/bamboodock/command/sidecar/runner_pool.cc
@@ -66,7 +66,7 @@
   if (work.needs_claim && answer.ok) {
     claims_->PostUntil(FinishClaimCommand{start, answer.status, answer.body}, InGraceLimit());
   }
-  WorkOutcome outcome{start.attempt, start.model, start.version,
+  WorkOutcome outcome{start.attempt, start.model,      start.version,
                       answer.ok,     answer.cancelled, answer.first_token};
   admission_->PostUntil(std::move(outcome), InGraceLimit());
 }
--- a/src/bamboodock/command/sidecar/sender_duty.cc
+++ b/src/bamboodock/command/sidecar/sender_duty.cc
@@ -20,7 +20,9 @@
   }
 }
 
-MonotonicTime SenderDuty::Tick() { return std::chrono::steady_clock::now() + std::chrono::hours(1); }
+MonotonicTime SenderDuty::Tick() {
+  return std::chrono::steady_clock::now() + std::chrono::hours(1);
+}
 
 bool SenderDuty::SendNext(const AnswerLog& log, std::size_t& index) {
   const auto deadline = std::chrono::steady_clock::now() + config::kAliveInterval;
--- a/src/bamboodock/policy/permission.cc
+++ b/src/bamboodock/policy/permission.cc
@@ -36,11 +36,10 @@
   if (zone == nullptr || zone->drained) {
     return Failure{ResultCode::kZoneDrained, "the availability zone is out of service"};
   }
-  const bool serves =
-      work.service.empty()
-          ? std::find(endpoint->versions.begin(), endpoint->versions.end(), work.version) !=
-                endpoint->versions.end()
-          : endpoint->service == work.service;
+  const bool serves = work.service.empty()
+                          ? std::find(endpoint->versions.begin(), endpoint->versions.end(),
+                                      work.version) != endpoint->versions.end()
+                          : endpoint->service == work.service;
   if (!serves) {
     return Failure{ResultCode::kVersionNotServed, "the endpoint does not serve the version"};
   }
