Add the sidecar program

Cause: an endpoint needs a process that admits and runs its work. Change: the sidecar's duties are wired together; RPC commands, HTTP queries and graceful stop. Measured: not run yet; it needs the entry and the stand-ins.

--- /dev/null
+++ b/apps/sidecar.cc
@@ -0,0 +1,57 @@
+#include <gflags/gflags.h>
+
+#include "bamboodock/command/process/address_list.h"
+#include "bamboodock/command/process/stop_signal.h"
+#include "bamboodock/command/sidecar/sidecar_process.h"
+#include "bamboodock/config/settings.h"
+#include "bamboodock/observe/log.h"
+
+DEFINE_string(endpoint, "", "id of the endpoint beside this process");
+DEFINE_string(listen, "127.0.0.1:7101", "IP:PORT of the message and RPC server");
+DEFINE_string(upstream, "", "IP:PORT of the endpoint");
+DEFINE_string(entries, "", "RPC addresses of the entries, IP:PORT[,IP:PORT...]");
+DEFINE_string(platform, "", "IP:PORT of the platform's services");
+DEFINE_uint32(connections, 128, "connections served at the same time");
+DEFINE_uint32(runners, 64, "endpoint calls run at the same time");
+DEFINE_string(log_level, "info", "debug, info, warn or error");
+DEFINE_bool(check, false, "check the settings and end");
+
+namespace bamboodock {
+namespace {
+
+Result<SidecarSettings> ReadSettings() {
+  SidecarSettings settings;
+  if (FLAGS_endpoint.empty()) return Raise(ResultCode::kBadSetting, "--endpoint is missing");
+  settings.endpoint = EndpointId(FLAGS_endpoint);
+  BOOST_LEAF_ASSIGN(settings.listen, ReadAddress("listen", FLAGS_listen));
+  BOOST_LEAF_ASSIGN(settings.upstream, ReadAddress("upstream", FLAGS_upstream));
+  BOOST_LEAF_ASSIGN(settings.entries, ReadAddressList("entries", FLAGS_entries));
+  BOOST_LEAF_ASSIGN(settings.platform, ReadAddress("platform", FLAGS_platform));
+  settings.connections = Concurrency(FLAGS_connections);
+  settings.runners = Concurrency(FLAGS_runners);
+  return settings;
+}
+
+int RunSidecar() {
+  return HandleFailure(
+      []() -> Result<int> {
+        BOOST_LEAF_AUTO(settings, ReadSettings());
+        if (FLAGS_check) return 0;
+        BlockStopSignals();
+        InitLog(settings.endpoint.value(), FLAGS_log_level);
+        BOOST_LEAF_AUTO(process, SidecarProcess::Start(settings));
+        WaitForStopSignal();
+        process->Stop();
+        return 0;
+      },
+      [](const Failure& failure) { return ReportWrongSetting(failure.detail); });
+}
+
+}  // namespace
+}  // namespace bamboodock
+
+int main(int argc, char** argv) {
+  const auto exit_code =
+      bamboodock::ParseSettings(&argc, &argv, "Runs beside one endpoint and admits its work.");
+  return exit_code ? *exit_code : bamboodock::RunSidecar();
+}
--- a/src/bamboodock/codec/control_message.cc
+++ b/src/bamboodock/codec/control_message.cc
@@ -7,26 +7,23 @@
 
 using Json = nlohmann::json;
 
-Json ToJson(const EvidenceCounters& c) {
-  return {{"model", c.model.value()},
-          {"version", c.version.value()},
-          {"answers", c.answers},
-          {"errors", c.errors},
-          {"slow", c.slow},
-          {"ratings", c.ratings},
+Json ToJson(const VersionCounters& v) {
+  const EvidenceCounters& c = v.counters;
+  return {{"model", v.model.value()}, {"version", v.version.value()}, {"answers", c.answers},
+          {"errors", c.errors},       {"slow", c.slow},               {"ratings", c.ratings},
           {"bad_ratings", c.bad_ratings}};
 }
 
-EvidenceCounters EvidenceFrom(const Json& json) {
-  EvidenceCounters c;
-  c.model = ModelId(json.at("model"));
-  c.version = VersionId(json.at("version"));
-  c.answers = json.at("answers");
-  c.errors = json.at("errors");
-  c.slow = json.at("slow");
-  c.ratings = json.at("ratings");
-  c.bad_ratings = json.at("bad_ratings");
-  return c;
+VersionCounters EvidenceFrom(const Json& json) {
+  VersionCounters v;
+  v.model = ModelId(json.at("model"));
+  v.version = VersionId(json.at("version"));
+  v.counters.answers = json.at("answers");
+  v.counters.errors = json.at("errors");
+  v.counters.slow = json.at("slow");
+  v.counters.ratings = json.at("ratings");
+  v.counters.bad_ratings = json.at("bad_ratings");
+  return v;
 }
 
 Json ToJson(const PendingSet& p) {
--- a/src/bamboodock/codec/control_message.h
+++ b/src/bamboodock/codec/control_message.h
@@ -7,18 +7,15 @@
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/result.h"
 #include "bamboodock/core/units.h"
+#include "bamboodock/policy/evidence_counters.h"
 
 namespace bamboodock {
 
-/// Cumulative counters on the answers of one version at one sidecar incarnation.
-struct EvidenceCounters {
+/// Cumulative evidence on one version at one sidecar incarnation.
+struct VersionCounters {
   ModelId model;
   VersionId version;
-  std::uint64_t answers = 0;
-  std::uint64_t errors = 0;
-  std::uint64_t slow = 0;
-  std::uint64_t ratings = 0;
-  std::uint64_t bad_ratings = 0;
+  EvidenceCounters counters;
 };
 
 /// `sync`: load and evidence of an endpoint, sent by its sidecar.
@@ -33,7 +30,7 @@
   /// Requests that the endpoint itself reports as running and queued.
   Concurrency reported_load;
   std::chrono::milliseconds report_age{0};
-  std::vector<EvidenceCounters> evidence;
+  std::vector<VersionCounters> evidence;
 };
 
 /// Publication that is prepared and not known to be accepted or lost.
--- a/src/bamboodock/command/sidecar/admission_duty.cc
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -238,10 +238,10 @@
 }
 
 EvidenceCounters& AdmissionDuty::Evidence(const ModelId& model, const VersionId& version) {
-  EvidenceCounters& evidence = evidence_[{model, version}];
+  VersionCounters& evidence = evidence_[{model, version}];
   evidence.model = model;
   evidence.version = version;
-  return evidence;
+  return evidence.counters;
 }
 
 void AdmissionDuty::FitRamp() {
--- a/src/bamboodock/command/sidecar/admission_duty.h
+++ b/src/bamboodock/command/sidecar/admission_duty.h
@@ -70,7 +70,7 @@
   bool leaving = false;
   Concurrency reported_load;
   std::chrono::milliseconds report_age{0};
-  std::vector<EvidenceCounters> evidence;
+  std::vector<VersionCounters> evidence;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
   LatencySummary first_token;
@@ -137,7 +137,7 @@
   std::unordered_map<AttemptId, Ref<AnswerLog>> logs_;
   std::multimap<MonotonicTime, AttemptId> log_expiry_;
   std::unordered_map<AttemptId, Ref<AnswerLog>> open_;
-  std::map<std::pair<ModelId, VersionId>, EvidenceCounters> evidence_;
+  std::map<std::pair<ModelId, VersionId>, VersionCounters> evidence_;
   LatencySummary first_token_;
   std::uint64_t admitted_ = 0;
   std::uint64_t refused_ = 0;
--- a/src/bamboodock/transport/rpc_client.cc
+++ b/src/bamboodock/transport/rpc_client.cc
@@ -28,7 +28,12 @@
         });
   };
   const RpcOutcome outcome = CallRpc(transport, method, parameters.dump());
-  if (outcome.ok) return nlohmann::json::parse(outcome.result);
+  if (outcome.ok) {
+    nlohmann::json result = nlohmann::json::parse(outcome.result, nullptr, false);
+    const auto error = result.find("error");
+    if (error == result.end()) return result;
+    return Raise(ResultCodeFromName(error->value("code", "")), error->value("detail", ""));
+  }
   if (outcome.error_code == RpcOutcome::kTransportError) return Raise(transport_failure);
   return Raise(ResultCode::kBadMessage, method + ": " + outcome.error_message);
 }
