Add the stand-in program and the HTTP clients of the platform

ResponseWriter::Close ends a connection without an answer, and a duty may state when its commands make work due, both of which the stand-in needs.

--- /dev/null
+++ b/apps/standin.cc
@@ -0,0 +1,147 @@
+#include <gflags/gflags.h>
+
+#include <array>
+#include <cctype>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "bamboodock/standin/roles.h"
+#include "bamboodock/transport/address.h"
+
+DEFINE_string(role, "", "platform, engine or service");
+DEFINE_string(listen, "127.0.0.1:9000", "IP:PORT to serve on");
+DEFINE_uint64(seed, 1, "seed of the answers");
+DEFINE_uint32(threads, 192, "connections served at the same time");
+DEFINE_uint32(host_lag_ms, 0, "platform: time until a change shows in the list of hosts");
+DEFINE_double(weight_rate, 10.0, "platform: weight reads allowed in a second");
+DEFINE_string(versions, "default:1", "engine: name:quality:ms_per_token,...");
+DEFINE_uint32(batch, 16, "engine: streams that generate at the same time");
+DEFINE_double(first_token_ms, 50.0, "engine: time to the first token");
+DEFINE_double(token_ms, 10.0, "engine: time between tokens");
+DEFINE_uint64(warmup_requests, 0, "engine, service: requests after which it is warm");
+DEFINE_double(cold_factor, 4.0, "engine: how much slower it is while cold");
+DEFINE_uint32(cold_limit, 2, "engine, service: streams above which it fails while cold");
+DEFINE_uint32(load_lag_ms, 500, "engine: interval of the load report");
+DEFINE_uint64(cached_prefixes, 256, "engine: prompt prefixes kept");
+DEFINE_bool(check_fencing, false, "engine: refuse orders with an old fencing number");
+DEFINE_double(call_ms, 0.0, "service: time that a call takes");
+
+namespace GFLAGS_NAMESPACE {
+// Not in the headers of gflags; called with 1 on a wrong flag.
+extern void (*gflags_exitfunc)(int);
+}  // namespace GFLAGS_NAMESPACE
+
+namespace bamboodock::standin {
+namespace {
+
+constexpr int kExitBadFlag = 2;
+
+void ExitOnBadFlag(int /*code*/) { std::exit(kExitBadFlag); }
+
+/// Takes flags from BAMBOODOCK_<FLAG> variables first and from the command line last.
+void ReadFlags(int argc, char** argv) {
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  for (const gflags::CommandLineFlagInfo& flag : flags) {
+    std::string variable = "BAMBOODOCK_" + flag.name;
+    for (char& letter : variable) letter = static_cast<char>(std::toupper(letter));
+    const char* value = std::getenv(variable.c_str());
+    if (value == nullptr || !gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
+      continue;
+    }
+    ExitOnBadFlag(1);
+  }
+  GFLAGS_NAMESPACE::gflags_exitfunc = &ExitOnBadFlag;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc == 1) return;
+  std::cerr << "bamboodock-standin: unexpected argument '" << argv[1] << "'\n";
+  ExitOnBadFlag(1);
+}
+
+Duration Milliseconds(double value) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+Result<std::unique_ptr<Role>> PlatformFromFlags(const Clock& clock) {
+  return MakePlatform({Milliseconds(FLAGS_host_lag_ms), RequestRate(FLAGS_weight_rate)}, clock);
+}
+
+Result<std::unique_ptr<Role>> EngineFromFlags(const Clock& clock) {
+  BOOST_LEAF_AUTO(versions, ParseVersions(FLAGS_versions));
+  if (FLAGS_batch == 0) return Raise(ResultCode::kBadSetting, "--batch must not be 0");
+  EngineSettings settings;
+  settings.Versions(std::move(versions))
+      .Batch(Concurrency(FLAGS_batch))
+      .FirstTokenTime(Milliseconds(FLAGS_first_token_ms))
+      .TokenTime(Milliseconds(FLAGS_token_ms))
+      .ColdStart(FLAGS_warmup_requests, FLAGS_cold_factor, Concurrency(FLAGS_cold_limit))
+      .LoadLag(Milliseconds(FLAGS_load_lag_ms))
+      .CachedPrefixes(FLAGS_cached_prefixes)
+      .CheckFencing(FLAGS_check_fencing);
+  return MakeEngine(settings, Seed(FLAGS_seed), clock);
+}
+
+Result<std::unique_ptr<Role>> ServiceFromFlags(const Clock& /*clock*/) {
+  return MakeService(
+      {Milliseconds(FLAGS_call_ms), FLAGS_warmup_requests, Concurrency(FLAGS_cold_limit)},
+      Seed(FLAGS_seed));
+}
+
+struct RoleMaker {
+  std::string_view name;
+  Result<std::unique_ptr<Role>> (*make)(const Clock& clock);
+};
+
+constexpr std::array kRoles{
+    RoleMaker{"platform", &PlatformFromFlags},
+    RoleMaker{"engine", &EngineFromFlags},
+    RoleMaker{"service", &ServiceFromFlags},
+};
+
+Result<std::unique_ptr<Role>> RoleFromFlags(const Clock& clock) {
+  for (const RoleMaker& role : kRoles) {
+    if (role.name == FLAGS_role) return role.make(clock);
+  }
+  return Raise(ResultCode::kBadSetting, "--role must be platform, engine or service");
+}
+
+Result<int> Serve() {
+  // Blocked before any thread starts, so that only this thread receives them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  const SystemClock clock;
+  BOOST_LEAF_AUTO(address, ParseAddress(FLAGS_listen));
+  BOOST_LEAF_AUTO(role, RoleFromFlags(clock));
+  BOOST_LEAF_AUTO(server, HttpServerBuilder()
+                              .Listen(address)
+                              .Threads(Concurrency(FLAGS_threads))
+                              .Handler(role->handler())
+                              .Build());
+  int received = 0;
+  sigwait(&signals, &received);
+  role->Stop();
+  server->Stop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace bamboodock::standin
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("--role=platform|engine|service --listen=IP:PORT");
+  bamboodock::standin::ReadFlags(argc, argv);
+  return bamboodock::HandleFailure([] { return bamboodock::standin::Serve(); },
+                                   [](const bamboodock::Failure& failure) {
+                                     std::cerr << "bamboodock-standin: " << failure.detail << '\n';
+                                     return bamboodock::standin::kExitBadFlag;
+                                   });
+}
--- a/src/bamboodock/core/duty.h
+++ b/src/bamboodock/core/duty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <array>
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -13,7 +13,8 @@
 /// Thread that owns one piece of state and takes commands from a bounded ring.
 ///
 /// `Derived` provides `void Handle(Command&)`, `MonotonicTime Tick()` (does due work and returns
-/// the time of the next) and is started by `Start()` after construction.
+/// the time of the next) and is started by `Start()` after construction. A duty whose commands can
+/// make work due earlier also provides `MonotonicTime Due() const`.
 template <class Derived, class Command>
 class Duty {
  public:
@@ -52,6 +53,7 @@
       std::optional<Command> command = ring_.PopUntil(next);
       if (command) {
         self.Handle(*command);
+        if constexpr (requires { self.Due(); }) next = std::min(next, self.Due());
       } else if (ring_.closed()) {
         return;
       }
--- /dev/null
+++ b/src/bamboodock/platform/http_object_store.cc
@@ -0,0 +1,32 @@
+#include "bamboodock/platform/http_object_store.h"
+
+namespace bamboodock {
+namespace {
+
+std::string Path(const ObjectHash& hash) { return "/objects/" + EncodeUrlPart(hash.value()); }
+
+boost::leaf::error_id Refused(int status) {
+  return Raise(ResultCode::kStoreUnavailable,
+               "the object store answered with status " + std::to_string(status));
+}
+
+}  // namespace
+
+Result<void> HttpObjectStore::Put(const ObjectHash& hash, const std::string& bytes) {
+  HttpRequest request;
+  request.method = "PUT";
+  request.path = Path(hash);
+  request.body = bytes;
+  BOOST_LEAF_AUTO(response, call_.Write(std::move(request)));
+  if (response.status >= 300) return Refused(response.status);
+  return {};
+}
+
+Result<std::string> HttpObjectStore::Load(const ObjectHash& hash) {
+  BOOST_LEAF_AUTO(response, call_.Read(Path(hash), ""));
+  if (response.status == 404) return Raise(ResultCode::kNotFound, "object " + hash.value());
+  if (response.status != 200) return Refused(response.status);
+  return std::move(response.body);
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/platform/http_object_store.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <utility>
+
+#include "bamboodock/platform/internal/store_call.h"
+#include "bamboodock/platform/object_store.h"
+
+namespace bamboodock {
+
+/// Client of the platform's object store.
+class HttpObjectStore final : public ObjectCommands, public ObjectQueries {
+ public:
+  HttpObjectStore(Address peer, Duration timeout) : call_(std::move(peer), timeout) {}
+
+  Result<void> Put(const ObjectHash& hash, const std::string& bytes) override;
+  Result<std::string> Load(const ObjectHash& hash) override;
+
+ private:
+  internal::StoreCall call_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/platform/http_ratings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <utility>
+
+#include "bamboodock/platform/internal/store_call.h"
+#include "bamboodock/platform/ratings.h"
+
+namespace bamboodock {
+
+/// Client of the platform's rating service.
+class HttpRatings final : public RatingQueries {
+ public:
+  HttpRatings(Address peer, Duration timeout) : call_(std::move(peer), timeout) {}
+
+  Result<std::vector<Rating>> After(std::uint64_t cursor, std::size_t limit) override;
+
+ private:
+  internal::StoreCall call_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/platform/http_table.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <utility>
+
+#include "bamboodock/platform/internal/store_call.h"
+#include "bamboodock/platform/table.h"
+
+namespace bamboodock {
+
+/// Client of the platform's table service.
+class HttpTable final : public TableCommands, public TableQueries {
+ public:
+  HttpTable(Address peer, Duration timeout) : call_(std::move(peer), timeout) {}
+
+  Result<RowVersion> Commit(const TableTransaction& transaction) override;
+  Result<std::optional<TableRow>> Read(const std::string& key) override;
+  Result<std::vector<TableRow>> Scan(const std::string& prefix, std::size_t limit) override;
+
+ private:
+  internal::StoreCall call_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/platform/http_weight_store.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <utility>
+
+#include "bamboodock/platform/internal/store_call.h"
+#include "bamboodock/platform/weight_store.h"
+
+namespace bamboodock {
+
+/// Client of the platform's weight store.
+class HttpWeightStore final : public WeightQueries {
+ public:
+  HttpWeightStore(Address peer, Duration timeout) : call_(std::move(peer), timeout) {}
+
+  Result<std::string> Load(const WeightName& name) override;
+
+ private:
+  internal::StoreCall call_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/standin/command/engine_commands.cc
@@ -0,0 +1,209 @@
+#include "bamboodock/standin/command/engine_commands.h"
+
+#include <charconv>
+
+#include "bamboodock/standin/fault_gate.h"
+#include "bamboodock/standin/routes.h"
+
+namespace bamboodock::standin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kBytesPerToken = 4;
+/// Time that a change of the duty's ring may take before the engine is considered stuck.
+constexpr std::chrono::seconds kCommandLimit{5};
+
+bool BreaksOff(const Fault& fault, std::uint64_t chunks) {
+  const bool breaks = fault.mode == FaultMode::kFreeze || fault.mode == FaultMode::kCut;
+  return breaks && chunks >= fault.after_chunks;
+}
+
+/// Answers a generation that the engine turned down; false when it did not.
+bool SendRefusal(GenerationEvent event, ResponseWriter& writer) {
+  switch (event) {
+    case GenerationEvent::kColdOverload:
+      SendError(writer, 503, "too many streams while cold");
+      return true;
+    case GenerationEvent::kQueueFull:
+      SendError(writer, 503, "the queue is full");
+      return true;
+    case GenerationEvent::kNotLoaded:
+      SendError(writer, 404, "the version is not loaded");
+      return true;
+    default:
+      return false;
+  }
+}
+
+json Logprob(const AnswerToken& token) {
+  return {{"token", token.text}, {"logprob", token.logprob}};
+}
+
+json Usage(const ChatRequest& chat) {
+  const std::size_t prompt = (chat.prompt.size() / kBytesPerToken) + 1;
+  return {{"prompt_tokens", prompt},
+          {"completion_tokens", chat.max_tokens.value()},
+          {"total_tokens", prompt + chat.max_tokens.value()}};
+}
+
+json Frame(const ChatRequest& chat, const char* object, json choice) {
+  choice["index"] = 0;
+  return {{"id", "chatcmpl-standin"},
+          {"object", object},
+          {"model", chat.version.value()},
+          {"choices", json::array({std::move(choice)})}};
+}
+
+std::string ServerSentEvent(const json& data) { return "data: " + data.dump() + "\n\n"; }
+
+std::string TokenChunk(const ChatRequest& chat, const AnswerToken& token) {
+  json choice{{"delta", {{"role", "assistant"}, {"content", token.text}}},
+              {"finish_reason", nullptr}};
+  if (chat.logprobs) choice["logprobs"] = {{"content", json::array({Logprob(token)})}};
+  return ServerSentEvent(Frame(chat, "chat.completion.chunk", std::move(choice)));
+}
+
+std::string LastChunk(const ChatRequest& chat) {
+  json frame = Frame(chat, "chat.completion.chunk",
+                     {{"delta", json::object()}, {"finish_reason", "length"}});
+  frame["usage"] = Usage(chat);
+  return ServerSentEvent(frame) + "data: [DONE]\n\n";
+}
+
+json WholeAnswer(const ChatRequest& chat, const Answer& answer) {
+  std::string text;
+  json logprobs = json::array();
+  for (const AnswerToken& token : answer.tokens) {
+    text += token.text;
+    if (chat.logprobs) logprobs.push_back(Logprob(token));
+  }
+  json choice{{"message", {{"role", "assistant"}, {"content", text}}}, {"finish_reason", "length"}};
+  if (chat.logprobs) choice["logprobs"] = {{"content", std::move(logprobs)}};
+  json frame = Frame(chat, "chat.completion", std::move(choice));
+  frame["usage"] = Usage(chat);
+  return frame;
+}
+
+int Priority(const HttpRequest& request) {
+  const std::string_view text = request.Header("X-Priority");
+  int priority = 1;
+  std::from_chars(text.data(), text.data() + text.size(), priority);
+  return priority;
+}
+
+}  // namespace
+
+bool EngineCommands::Handle(const HttpRequest& request, ResponseWriter& writer) {
+  using Method = void (EngineCommands::*)(const HttpRequest&, ResponseWriter&);
+  static constexpr std::array kRoutes{
+      Route<Method>{"POST", "/v1/chat/completions", &EngineCommands::Chat},
+      Route<Method>{"POST", "/orders", &EngineCommands::Order},
+      Route<Method>{"POST", "/faults", &EngineCommands::SetFault},
+  };
+  return Dispatch(*this, kRoutes, request, writer);
+}
+
+void EngineCommands::Chat(const HttpRequest& request, ResponseWriter& writer) {
+  const auto chat = DecodeChatRequest(ParseBody(request));
+  if (!chat) return SendError(writer, 400, "not a chat request");
+  const Fault fault = faults_.TakeForWrite();
+  const bool later = fault.mode == FaultMode::kFreeze || fault.mode == FaultMode::kCut;
+  if (!later && !PassFault(fault, faults_, writer)) return;
+
+  const Ref<Generation> generation = MakeRef<Generation>();
+  generation->version = chat->version;
+  generation->priority = Priority(request);
+  generation->length = chat->max_tokens;
+  generation->prefixes = chat->prefixes;
+  if (!duty_.Post(StartGeneration{generation})) return SendError(writer, 503, "overloaded");
+  if (chat->stream) {
+    Stream(*chat, fault, generation, writer);
+  } else {
+    Whole(*chat, fault, generation, writer);
+  }
+}
+
+Answer EngineCommands::AnswerTo(const ChatRequest& chat) const {
+  const ServedVersion* version = duty_.settings().Find(chat.version);
+  const Ratio quality = version != nullptr ? version->quality : Ratio(1.0);
+  return MakeAnswer({chat.prompt, chat.version, quality, chat.max_tokens, faults_.WrongRatio()},
+                    seed_);
+}
+
+void EngineCommands::Stream(const ChatRequest& chat, const Fault& fault,
+                            const Ref<Generation>& generation, ResponseWriter& writer) {
+  const Answer answer = AnswerTo(chat);
+  std::size_t sent = 0;
+  while (true) {
+    const auto event = generation->events.Pop();
+    // The ring ends early only when the process stops.
+    if (!event) return writer.Close();
+    if (SendRefusal(*event, writer)) return;
+    if (BreaksOff(fault, sent)) return BreakOff(fault, generation, writer);
+    bool open = writer.begun() || writer.Begin(200, {{"Content-Type", "text/event-stream"}});
+    if (*event == GenerationEvent::kDone) {
+      if (open && writer.Write(LastChunk(chat))) return writer.End();
+      return writer.Close();
+    }
+    open = open && writer.Write(TokenChunk(chat, answer.tokens.at(sent++)));
+    if (!open) {
+      Cancel(generation);
+      return writer.Close();
+    }
+  }
+}
+
+void EngineCommands::Whole(const ChatRequest& chat, const Fault& fault,
+                           const Ref<Generation>& generation, ResponseWriter& writer) {
+  std::uint64_t made = 0;
+  while (true) {
+    const auto event = generation->events.Pop();
+    if (!event) return writer.Close();
+    if (SendRefusal(*event, writer)) return;
+    if (BreaksOff(fault, made++)) return BreakOff(fault, generation, writer);
+    if (*event == GenerationEvent::kDone) break;
+  }
+  SendJson(writer, 200, WholeAnswer(chat, AnswerTo(chat)));
+}
+
+void EngineCommands::BreakOff(const Fault& fault, const Ref<Generation>& generation,
+                              ResponseWriter& writer) {
+  Cancel(generation);
+  if (fault.mode == FaultMode::kFreeze) faults_.Hold();
+  writer.Close();
+}
+
+void EngineCommands::Cancel(const Ref<Generation>& generation) {
+  generation->events.Close();
+  duty_.PostUntil(CancelGeneration{generation}, std::chrono::steady_clock::now() + kCommandLimit);
+}
+
+void EngineCommands::Order(const HttpRequest& request, ResponseWriter& writer) {
+  ApplyOrder command;
+  try {
+    const json body = ParseBody(request);
+    command.order.fencing = FencingNumber(body.at("fencing").get<FencingNumber::rep>());
+    command.order.action = body.at("action").get<std::string>();
+    command.order.version = VersionId(body.value("version", ""));
+  } catch (const json::exception& error) {
+    return SendError(writer, 400, error.what());
+  }
+  const Fault fault = faults_.TakeForWrite("orders");
+  if (!PassFault(fault, faults_, writer)) return;
+  command.reply = std::make_shared<BoundedRing<OrderOutcome>>(1);
+  const auto reply = command.reply;
+  if (!duty_.Post(std::move(command))) return SendError(writer, 503, "overloaded");
+  const auto outcome = reply->Pop();
+  if (!outcome || fault.mode == FaultMode::kLoseAnswer) return writer.Close();
+  SendJson(writer, outcome->applied ? 200 : 409, {{"highest", outcome->highest.value()}});
+}
+
+void EngineCommands::SetFault(const HttpRequest& request, ResponseWriter& writer) {
+  const json body = ParseBody(request);
+  if (!faults_.Set(body)) return SendError(writer, 400, "not a fault");
+  if (body.value("mode", "") == "cold") duty_.Post(TurnCold{});
+  SendJson(writer, 200, json::object());
+}
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/engine_duty.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bamboodock/core/duty.h"
+#include "bamboodock/core/snapshot_cell.h"
+#include "bamboodock/standin/engine_settings.h"
+#include "bamboodock/standin/generation.h"
+
+namespace bamboodock::standin {
+
+/// Asks for a generation to be queued.
+struct StartGeneration {
+  Ref<Generation> generation;
+};
+
+/// The caller left.
+struct CancelGeneration {
+  Ref<Generation> generation;
+};
+
+struct TurnCold {};
+
+/// Order of the engine's keeper.
+struct EngineOrder {
+  FencingNumber fencing;
+  std::string action;
+  VersionId version;
+};
+
+struct OrderOutcome {
+  bool applied = false;
+  FencingNumber highest;
+};
+
+struct ApplyOrder {
+  EngineOrder order;
+  std::shared_ptr<BoundedRing<OrderOutcome>> reply;
+};
+
+using EngineCommand = std::variant<StartGeneration, CancelGeneration, TurnCold, ApplyOrder>;
+
+/// Load report as of some time ago.
+struct LoadReport : RefCounted<LoadReport> {
+  Concurrency running;
+  Concurrency queued;
+  bool warm = true;
+  MonotonicTime taken_at{};
+};
+
+struct EngineCounters : RefCounted<EngineCounters> {
+  std::uint64_t started = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t cold_overloads = 0;
+  std::uint64_t prefix_hits = 0;
+  Concurrency max_running;
+  /// Includes the streams that were too many.
+  Concurrency max_running_cold;
+  Tokens tokens;
+};
+
+/// Versions loaded and orders applied.
+struct EngineRole : RefCounted<EngineRole> {
+  std::set<VersionId> loaded;
+  FencingNumber highest;
+  std::deque<EngineOrder> orders;
+};
+
+/// Change of the prefix cache.
+struct CacheEvent {
+  SequenceNumber sequence;
+  bool stored = true;
+  PrefixHash prefix;
+  MonotonicTime visible_at{};
+};
+
+struct CacheEvents : RefCounted<CacheEvents> {
+  std::deque<CacheEvent> events;
+};
+
+/// Owns the batch of a stand-in engine: queue, pace, cold start, prefix cache, orders.
+class EngineDuty final : public Duty<EngineDuty, EngineCommand> {
+ public:
+  EngineDuty(EngineSettings settings, const Clock& clock);
+  ~EngineDuty() { Shutdown(); }
+
+  /// Ends the thread and all generations.
+  void Shutdown();
+
+  const EngineSettings& settings() const { return settings_; }
+  Ref<const LoadReport> load() const { return load_.Load(); }
+  Ref<const EngineCounters> counters() const { return counters_cell_.Load(); }
+  Ref<const EngineRole> role() const { return role_cell_.Load(); }
+  Ref<const CacheEvents> cache_events() const { return events_cell_.Load(); }
+
+  void Handle(EngineCommand& command);
+  MonotonicTime Tick();
+  /// Time of the next token or load report.
+  MonotonicTime Due() const;
+
+ private:
+  struct Running {
+    Ref<Generation> generation;
+    MonotonicTime next_token;
+    Tokens sent;
+  };
+
+  void On(StartGeneration& command);
+  void On(CancelGeneration& command);
+  void On(TurnCold& command);
+  void On(ApplyOrder& command);
+
+  void FillBatch();
+  void Begin(const Ref<Generation>& generation);
+  /// Sends the tokens that are due; true when the generation is complete.
+  bool Advance(Running& running, MonotonicTime now);
+  Duration FirstTokenTime(const Generation& generation);
+  Duration TokenTime(const Generation& generation) const;
+  Duration Paced(Duration time) const;
+  void Record(bool stored, PrefixHash prefix);
+  void Publish();
+  bool warm() const { return served_ >= settings_.warmup_requests(); }
+
+  EngineSettings settings_;
+  const Clock& clock_;
+  std::vector<Running> running_;
+  std::deque<Ref<Generation>> queue_;
+  std::uint64_t served_ = 0;
+  PrefixCache cache_;
+  SequenceNumber cache_sequence_;
+  EngineCounters counters_;
+  EngineRole role_;
+  CacheEvents events_;
+  MonotonicTime next_load_{};
+
+  SnapshotCell<LoadReport> load_;
+  SnapshotCell<EngineCounters> counters_cell_;
+  SnapshotCell<EngineRole> role_cell_;
+  SnapshotCell<CacheEvents> events_cell_;
+};
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/fault_gate.cc
@@ -0,0 +1,28 @@
+#include "bamboodock/standin/fault_gate.h"
+
+#include "bamboodock/standin/routes.h"
+
+namespace bamboodock::standin {
+
+bool PassFault(const Fault& fault, FaultBoard& faults, ResponseWriter& writer) {
+  switch (fault.mode) {
+    case FaultMode::kDown:
+      SendError(writer, 503, "down");
+      return false;
+    case FaultMode::kFail:
+      SendError(writer, 500, "failed");
+      return false;
+    case FaultMode::kFreeze:
+      faults.Hold();
+      writer.Close();
+      return false;
+    case FaultMode::kSlow:
+      if (faults.Wait(fault.delay)) return true;
+      writer.Close();
+      return false;
+    default:
+      return true;
+  }
+}
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/peak_rate.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "bamboodock/core/units.h"
+
+namespace bamboodock::standin {
+
+/// Counts events in windows of one second and keeps the highest count.
+class PeakRate {
+ public:
+  /// Counts one event and returns the count of its window.
+  std::uint64_t Add(MonotonicTime now) {
+    if (now - window_ >= std::chrono::seconds(1)) {
+      window_ = now;
+      count_ = 0;
+    }
+    peak_ = std::max(peak_, ++count_);
+    return count_;
+  }
+  std::uint64_t peak() const { return peak_; }
+
+ private:
+  MonotonicTime window_{};
+  std::uint64_t count_ = 0;
+  std::uint64_t peak_ = 0;
+};
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/service_call.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "bamboodock/standin/fault_board.h"
+#include "bamboodock/standin/fault_gate.h"
+#include "bamboodock/standin/routes.h"
+#include "bamboodock/standin/service_gate.h"
+
+namespace bamboodock::standin {
+
+/// Runs `work`, which returns the response body or null, within the gate and under a fault.
+template <class Work>
+void ServeCall(const Fault& fault, Duration call_time, ServiceGate& gate, FaultBoard& faults,
+               ResponseWriter& writer, Work work) {
+  if (!gate.Enter()) return SendError(writer, 503, "too many calls while cold");
+  const bool after = fault.mode == FaultMode::kFreeze;
+  nlohmann::json body;
+  const bool allowed = after || PassFault(fault, faults, writer);
+  if (allowed && faults.Wait(call_time)) body = work();
+  gate.Leave();
+  if (!allowed) return;
+  if (body.is_null() || fault.mode == FaultMode::kLoseAnswer) return writer.Close();
+  if (after) {
+    faults.Hold();
+    return writer.Close();
+  }
+  if (fault.mode != FaultMode::kCut) return SendJson(writer, 200, body);
+  const std::string text = body.dump();
+  if (writer.Begin(200, {{"Content-Type", "application/json"}})) {
+    writer.Write(std::string_view(text).substr(0, text.size() / 2));
+  }
+  writer.Close();
+}
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/service_gate.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <algorithm>
+#include <mutex>
+
+#include "bamboodock/core/units.h"
+
+namespace bamboodock::standin {
+
+struct ServiceLoad {
+  Concurrency running;
+  Concurrency max_running;
+  /// Includes the calls that were too many.
+  Concurrency max_running_cold;
+  bool warm = true;
+};
+
+/// Counts open calls and keeps the cold limit of a stand-in service.
+class ServiceGate {
+ public:
+  ServiceGate(std::uint64_t warmup_requests, Concurrency cold_limit)
+      : warmup_requests_(warmup_requests), cold_limit_(cold_limit) {}
+
+  /// Admits a call; false above the cold limit while cold.
+  bool Enter() {
+    const std::lock_guard lock(mutex_);
+    const Concurrency open = load_.running.Next();
+    if (served_ < warmup_requests_) {
+      load_.max_running_cold = std::max(load_.max_running_cold, open);
+      if (open > cold_limit_) return false;
+    }
+    load_.running = open;
+    load_.max_running = std::max(load_.max_running, open);
+    return true;
+  }
+
+  void Leave() {
+    const std::lock_guard lock(mutex_);
+    load_.running -= Concurrency(1);
+    ++served_;
+  }
+
+  void TurnCold() {
+    const std::lock_guard lock(mutex_);
+    served_ = 0;
+  }
+
+  ServiceLoad load() const {
+    const std::lock_guard lock(mutex_);
+    ServiceLoad load = load_;
+    load.warm = served_ >= warmup_requests_;
+    return load;
+  }
+
+ private:
+  std::uint64_t warmup_requests_;
+  Concurrency cold_limit_;
+  mutable std::mutex mutex_;
+  ServiceLoad load_;
+  std::uint64_t served_ = 0;
+};
+
+}  // namespace bamboodock::standin
--- /dev/null
+++ b/src/bamboodock/standin/service_state.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/quantity.h"
+
+namespace bamboodock::standin {
+
+/// Times that a call with one key was run.
+using RunCount = Quantity<struct RunCountTag, std::uint64_t>;
+/// Number of a label or an order.
+using IssueNumber = Quantity<struct IssueNumberTag, std::uint64_t>;
+
+struct Issue {
+  IssueNumber number;
+  RunCount runs;
+};
+
+/// Labels and orders issued by a stand-in service. Only the state duty issues.
+class ServiceState {
+ public:
+  /// Issues a new number, even when the key was used before.
+  Issue Run(const IdempotencyKey& key) {
+    const std::lock_guard lock(mutex_);
+    last_ = last_.Next();
+    RunCount& runs = runs_[key];
+    runs = runs.Next();
+    return {last_, runs};
+  }
+
+  std::map<IdempotencyKey, RunCount> Runs() const {
+    const std::lock_guard lock(mutex_);
+    return runs_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  IssueNumber last_;
+  std::map<IdempotencyKey, RunCount> runs_;
+};
+
+}  // namespace bamboodock::standin
--- a/src/bamboodock/transport/http_server.cc
+++ b/src/bamboodock/transport/http_server.cc
@@ -15,6 +15,8 @@
 constexpr int kWebSocketOpcodeMask = 0x0f;
 constexpr int kWebSocketClose = 8;
 constexpr std::size_t kReadBlock = 16384;
+/// Recorded for a connection that is closed without a response; never sent.
+constexpr int kStatusNoResponse = 444;
 
 enum class BodyStatus { kComplete, kTooLarge, kCut };
 
@@ -171,6 +173,11 @@
 
 void ResponseWriter::End() { mg_send_chunk(connection_, "", 0); }
 
+void ResponseWriter::Close() {
+  mg_disable_keep_alive(connection_);
+  if (!begun_) status_ = kStatusNoResponse;
+}
+
 HttpServer::~HttpServer() { Stop(); }
 
 void HttpServer::Stop() {
--- a/src/bamboodock/transport/http_server.h
+++ b/src/bamboodock/transport/http_server.h
@@ -28,6 +28,8 @@
   bool Write(std::string_view part);
   /// Sends the end mark.
   void End();
+  /// Ends the connection without a response, or without the rest of the one that was begun.
+  void Close();
   /// Whether a status line has been sent.
   bool begun() const { return begun_; }
   int status() const { return status_; }
--- a/src/bamboodock/transport/http_types.cc
+++ b/src/bamboodock/transport/http_types.cc
@@ -12,6 +12,14 @@
   return {};
 }
 
+std::string EncodeUrlPart(const std::string& text) {
+  // Each byte becomes at most "%xx"; the encoder needs room for the end mark.
+  std::string encoded((3 * text.size()) + 1, '\0');
+  const int length = mg_url_encode(text.c_str(), encoded.data(), encoded.size());
+  encoded.resize(length < 0 ? 0 : static_cast<std::size_t>(length));
+  return encoded;
+}
+
 std::string_view HttpRequest::Header(std::string_view name) const {
   return FindHeader(headers, name);
 }
--- a/src/bamboodock/transport/http_types.h
+++ b/src/bamboodock/transport/http_types.h
@@ -37,4 +37,7 @@
 /// Header lookup by case-insensitive name; empty when absent.
 std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
+/// Percent-encodes the value of a query parameter or a part of a path.
+std::string EncodeUrlPart(const std::string& text);
+
 }  // namespace bamboodock
