--- /dev/null
+++ b/src/bamboodock/codec/operator_codec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/result.h"
+#include "bamboodock/objects/set_error.h"
+#include "bamboodock/objects/version.h"
+
+namespace bamboodock {
+
+/// `POST /commands/publish`.
+struct PublishRequest {
+  PublicationId publication;
+  /// Encoded object set.
+  std::string set;
+};
+
+/// `POST /commands/drain` and `POST /commands/restore`.
+struct ZoneRequest {
+  PublicationId publication;
+  AvailabilityZoneId availability_zone;
+};
+
+/// `POST /commands/withdraw`.
+struct WithdrawRequest {
+  PublicationId publication;
+  ModelId model;
+  VersionId version;
+  VersionStage stage = VersionStage::kWithdrawn;
+};
+
+/// Decoders fail with `kBadRequest` and name the field at fault.
+Result<PublishRequest> DecodePublishRequest(const std::string& body);
+Result<ZoneRequest> DecodeZoneRequest(const std::string& body);
+Result<WithdrawRequest> DecodeWithdrawRequest(const std::string& body);
+
+/// Body {"errors": [{"object", "field", "message"}]}.
+std::string EncodeSetErrors(const std::vector<SetError>& errors);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/attempt_client.cc
@@ -0,0 +1,208 @@
+#include "bamboodock/command/entry/attempt_client.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace bamboodock {
+namespace {
+
+/// New connections tried for one silence before the answer is given up.
+constexpr std::uint32_t kMostResumes = 3;
+
+}  // namespace
+
+struct AttemptClient::Exchange {
+  Exchange(const Address& peer_address, const AttemptId& id, const RequestId& request_id,
+           MonotonicTime until, AnswerSink& answer_sink)
+      : peer(peer_address),
+        attempt(id),
+        request(request_id),
+        deadline(until),
+        sink(answer_sink),
+        assembler(id, kMostResumes),
+        ring(std::make_shared<MessageRing>(config::kStreamRingCapacity)) {}
+
+  void Fail(Failure failure) {
+    result.failure = std::move(failure);
+    done = true;
+  }
+
+  Address peer;
+  AttemptId attempt;
+  RequestId request;
+  MonotonicTime deadline;
+  AnswerSink& sink;
+  StreamAssembler assembler;
+  std::shared_ptr<MessageRing> ring;
+  std::optional<AttemptChannel> channel;
+  IncarnationId incarnation;
+  AttemptResult result;
+  bool head_passed = false;
+  bool done = false;
+};
+
+AttemptResult AttemptClient::Run(const Address& peer, AttemptStartMessage start,
+                                 MonotonicTime deadline, AnswerSink& sink) {
+  Exchange exchange(peer, start.attempt, start.request, deadline, sink);
+  const bool opened = HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_ASSIGN(exchange.channel, channels_.Acquire(peer, false));
+        return true;
+      },
+      [&](const Failure& failure) {
+        exchange.Fail({ResultCode::kConnectionFailed, failure.detail, RunState::kNotRun});
+        return false;
+      });
+  if (!opened) return exchange.result;
+  exchange.incarnation = exchange.channel->hello.incarnation;
+  start.incarnation = exchange.incarnation;
+  start.deadline = exchange.channel->OnSidecarClock(deadline);
+  start.sent_at = timeline_.clock().Tick();
+  exchange.channel->channel->Receive(exchange.ring);
+  timeline_.Record(Event::kAttemptSent, start.request,
+                   start.attempt.value() + " to " + peer.ToString());
+  if (!exchange.channel->channel->Send(EncodeMessage(EntryMessage(std::move(start))))) {
+    // Part of the message may have left, so the attempt is looked up on a new connection.
+    Resume(exchange);
+  }
+  Receive(exchange);
+  return exchange.result;
+}
+
+AttemptResult AttemptClient::Attach(const Address& peer, const AttemptId& attempt,
+                                    const RequestId& request, MonotonicTime deadline,
+                                    AnswerSink& sink) {
+  Exchange exchange(peer, attempt, request, deadline, sink);
+  Resume(exchange);
+  Receive(exchange);
+  return exchange.result;
+}
+
+void AttemptClient::Receive(Exchange& exchange) {
+  while (!exchange.done) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= exchange.deadline) {
+      exchange.Fail({ResultCode::kDeadlineExceeded, "the deadline passed", RunState::kUnknown});
+      Leave(exchange);
+      return;
+    }
+    const auto until = std::min(now + config::kSilenceLimit, exchange.deadline);
+    const std::optional<std::string> bytes = exchange.ring->PopUntil(until);
+    if (!bytes) {
+      Resume(exchange);
+      continue;
+    }
+    HandleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_AUTO(message, DecodeSidecarMessage(*bytes));
+          std::visit([&](const auto& m) { Apply(exchange, m); }, message);
+          return true;
+        },
+        [&](const Failure& failure) {
+          exchange.Fail(failure);
+          return false;
+        });
+  }
+  if (!exchange.channel) return;
+  if (exchange.result.end || exchange.result.failure.run == RunState::kNotRun) {
+    channels_.Release(std::move(*exchange.channel));
+  } else {
+    channels_.Discard(std::move(*exchange.channel));
+  }
+}
+
+void AttemptClient::Resume(Exchange& exchange) {
+  if (exchange.channel) {
+    channels_.Discard(std::move(*exchange.channel));
+    exchange.channel.reset();
+  }
+  const StreamVerdict verdict = exchange.assembler.OnSilence();
+  if (verdict != StreamVerdict::kResume) {
+    exchange.Fail({ResultCode::kConnectionSilent, "the sidecar does not answer any more",
+                   RunState::kUnknown});
+    return;
+  }
+  timeline_.Record(Event::kAttemptResumed, exchange.request,
+                   "next=" + std::to_string(exchange.assembler.next().value()));
+  exchange.ring = std::make_shared<MessageRing>(config::kStreamRingCapacity);
+  HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_ASSIGN(exchange.channel, channels_.Acquire(exchange.peer, true));
+        const AttemptResumeMessage resume{exchange.attempt, exchange.assembler.next()};
+        exchange.channel->channel->Receive(exchange.ring);
+        return exchange.channel->channel->Send(EncodeMessage(EntryMessage(resume)));
+      },
+      [&](const Failure& /*failure*/) {
+        exchange.ring->Close();
+        return false;
+      });
+}
+
+void AttemptClient::Apply(Exchange& /*exchange*/, const HelloMessage& /*message*/) {}
+
+void AttemptClient::Apply(Exchange& exchange, const AliveMessage& /*message*/) {
+  if (!exchange.sink.OnAlive()) Leave(exchange);
+}
+
+void AttemptClient::Apply(Exchange& exchange, const HeadMessage& message) {
+  // A resumed answer repeats the head.
+  if (std::exchange(exchange.head_passed, true)) return;
+  if (!exchange.sink.OnHead(message.status, message.headers)) Leave(exchange);
+}
+
+void AttemptClient::Apply(Exchange& exchange, const ChunkMessage& message) {
+  switch (exchange.assembler.OnChunk(exchange.attempt, message.sequence)) {
+    case StreamVerdict::kDeliver:
+      exchange.result.delivered = exchange.assembler.next();
+      if (!exchange.sink.OnChunk(message.data)) Leave(exchange);
+      return;
+    case StreamVerdict::kResume:
+      Resume(exchange);
+      return;
+    case StreamVerdict::kIncomplete:
+      exchange.Fail({ResultCode::kAnswerIncomplete, "chunks are missing", RunState::kRan});
+      return;
+    default:
+      return;
+  }
+}
+
+void AttemptClient::Apply(Exchange& exchange, const EndMessage& message) {
+  switch (exchange.assembler.OnEnd(exchange.attempt, message.count)) {
+    case StreamVerdict::kComplete:
+      timeline_.clock().Observe(message.sent_at);
+      exchange.result.end = message;
+      exchange.done = true;
+      return;
+    case StreamVerdict::kResume:
+      Resume(exchange);
+      return;
+    default:
+      exchange.Fail({ResultCode::kAnswerIncomplete, "the count of chunks differs", RunState::kRan});
+      return;
+  }
+}
+
+void AttemptClient::Apply(Exchange& exchange, const RefusedMessage& message) {
+  exchange.result.epoch = message.epoch;
+  timeline_.Record(Event::kAttemptRefusedByPeer, exchange.request,
+                   std::string(Name(message.failure.code)) + " run=" +
+                       std::string(Name(message.failure.run)));
+  exchange.Fail(message.failure);
+}
+
+void AttemptClient::Leave(Exchange& exchange) {
+  exchange.result.caller_left = std::chrono::steady_clock::now() < exchange.deadline;
+  if (exchange.result.failure.code == ResultCode::kInternal) {
+    exchange.result.failure = {ResultCode::kCancelled, "the caller left", RunState::kRan};
+  }
+  exchange.done = true;
+  if (!exchange.channel) return;
+  exchange.channel->channel->Send(
+      EncodeMessage(EntryMessage(AttemptCancelMessage{exchange.attempt})));
+  channels_.Discard(std::move(*exchange.channel));
+  exchange.channel.reset();
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/call_command.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bamboodock/command/entry/request_run.h"
+#include "bamboodock/transport/http_server.h"
+
+namespace bamboodock {
+
+/// Calls of plain services: `/services/<service>/<path>`.
+class CallCommand {
+ public:
+  explicit CallCommand(RequestContext& context) : context_(context) {}
+
+  void Handle(const HttpRequest& request, ResponseWriter& writer);
+
+ private:
+  Result<bool> Run(const HttpRequest& request, ResponseWriter& writer);
+  Result<StepInput> Input(const HttpRequest& request, const ClientAccountId& account) const;
+
+  RequestContext& context_;
+};
+
+/// Prefix of the paths of plain services.
+inline constexpr std::string_view kServicesPrefix = "/services/";
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/channel_pool.cc
@@ -0,0 +1,69 @@
+#include "bamboodock/command/entry/channel_pool.h"
+
+#include <utility>
+
+namespace bamboodock {
+namespace {
+
+constexpr const char* kAttemptPath = "/attempt";
+/// Idle connections kept for each sidecar.
+constexpr std::size_t kMostIdle = 32;
+constexpr std::size_t kHelloCapacity = 4;
+
+}  // namespace
+
+ChannelPool::~ChannelPool() {
+  idle_.clear();
+  closer_.Stop();
+}
+
+Result<AttemptChannel> ChannelPool::Acquire(const Address& peer, bool fresh) {
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<AttemptChannel>& idle = idle_[peer];
+    while (!fresh && !idle.empty()) {
+      AttemptChannel channel = std::move(idle.back());
+      idle.pop_back();
+      if (channel.channel->open()) return channel;
+      closer_.Post(std::move(channel.channel));
+    }
+  }
+  return Open(peer);
+}
+
+void ChannelPool::Release(AttemptChannel channel) {
+  channel.channel->Receive(nullptr);
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<AttemptChannel>& idle = idle_[channel.peer];
+    if (channel.channel->open() && idle.size() < kMostIdle) {
+      idle.push_back(std::move(channel));
+      return;
+    }
+  }
+  closer_.Post(std::move(channel.channel));
+}
+
+void ChannelPool::Discard(AttemptChannel channel) {
+  channel.channel->Receive(nullptr);
+  closer_.Post(std::move(channel.channel));
+}
+
+Result<AttemptChannel> ChannelPool::Open(const Address& peer) const {
+  auto ring = std::make_shared<MessageRing>(kHelloCapacity);
+  AttemptChannel channel;
+  channel.peer = peer;
+  BOOST_LEAF_ASSIGN(channel.channel, MessageChannel::Connect(peer, kAttemptPath, ring));
+  const auto deadline = std::chrono::steady_clock::now() + config::kControlTimeout;
+  const std::optional<std::string> message = ring->PopUntil(deadline);
+  if (!message) return Raise(ResultCode::kConnectionFailed, "no hello from " + peer.ToString());
+  BOOST_LEAF_AUTO(decoded, DecodeSidecarMessage(*message));
+  const auto* hello = std::get_if<HelloMessage>(&decoded);
+  if (hello == nullptr) return Raise(ResultCode::kConnectionFailed, "no hello from sidecar");
+  channel.hello = *hello;
+  channel.hello_received = std::chrono::steady_clock::now();
+  channel.channel->Receive(nullptr);
+  return channel;
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/operator_commands.cc
@@ -0,0 +1,115 @@
+#include "bamboodock/command/entry/operator_commands.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "bamboodock/codec/error_codec.h"
+#include "bamboodock/codec/object_set_codec.h"
+#include "bamboodock/codec/operator_codec.h"
+#include "bamboodock/command/entry/withdraw_duty.h"
+#include "bamboodock/query/common/process_queries.h"
+
+namespace bamboodock {
+namespace {
+
+/// Time in which sidecars are expected to report a new epoch.
+constexpr std::chrono::milliseconds kInForceWait{3000};
+
+}  // namespace
+
+HttpResponse OperatorCommands::Answer(const HttpRequest& request) {
+  struct Route {
+    std::string_view path;
+    Result<HttpResponse> (OperatorCommands::*method)(const HttpRequest&);
+  };
+  static constexpr std::array kRoutes{
+      Route{"/commands/publish", &OperatorCommands::Publish},
+      Route{"/commands/drain", &OperatorCommands::Drain},
+      Route{"/commands/restore", &OperatorCommands::Restore},
+      Route{"/commands/withdraw", &OperatorCommands::Withdraw},
+  };
+  return HandleFailure(
+      [&]() -> Result<HttpResponse> {
+        for (const Route& route : kRoutes) {
+          if (route.path != request.path) continue;
+          if (request.method == "POST") return (this->*route.method)(request);
+          return Raise(ResultCode::kMethodNotAllowed, "commands are sent by POST");
+        }
+        return Raise(ResultCode::kNotFound, "no such command");
+      },
+      [](const Failure& failure) { return FailureResponse(failure); });
+}
+
+Result<HttpResponse> OperatorCommands::Publish(const HttpRequest& request) {
+  BOOST_LEAF_AUTO(publish, DecodePublishRequest(request.body));
+  DecodedObjectSet decoded = DecodeObjectSet(publish.set);
+  if (!decoded.set) return JsonResponse(422, EncodeSetErrors(decoded.errors));
+  BOOST_LEAF_AUTO(outcome, publisher_.Publish(publish.publication, decoded.set));
+  return Report(publish.publication, std::move(outcome));
+}
+
+Result<HttpResponse> OperatorCommands::Drain(const HttpRequest& request) {
+  return SetDrained(request, true);
+}
+
+Result<HttpResponse> OperatorCommands::Restore(const HttpRequest& request) {
+  return SetDrained(request, false);
+}
+
+Result<HttpResponse> OperatorCommands::SetDrained(const HttpRequest& request, bool drained) {
+  BOOST_LEAF_AUTO(zone, DecodeZoneRequest(request.body));
+  const SetEdit edit = [&](const ObjectSet* current) -> Result<Ref<const ObjectSet>> {
+    if (current == nullptr || current->Find(zone.availability_zone) == nullptr) {
+      return Raise(ResultCode::kNotFound,
+                   "no availability zone " + zone.availability_zone.value() + " in the set");
+    }
+    return ObjectSetBuilder(*current).SetDrained(zone.availability_zone, drained).Build();
+  };
+  BOOST_LEAF_AUTO(outcome, publisher_.Edit(zone.publication, edit));
+  return Report(zone.publication, std::move(outcome));
+}
+
+Result<HttpResponse> OperatorCommands::Withdraw(const HttpRequest& request) {
+  BOOST_LEAF_AUTO(withdraw, DecodeWithdrawRequest(request.body));
+  const SetEdit edit = StageEdit(withdraw.model, withdraw.version, withdraw.stage);
+  BOOST_LEAF_AUTO(outcome, publisher_.Edit(withdraw.publication, edit));
+  return Report(withdraw.publication, std::move(outcome));
+}
+
+HttpResponse OperatorCommands::Report(const PublicationId& publication,
+                                      PublishOutcome outcome) const {
+  using Json = nlohmann::json;
+  if (!outcome.errors.empty()) return JsonResponse(422, EncodeSetErrors(outcome.errors));
+  if (!outcome.winner.empty()) {
+    const Failure failure{ResultCode::kPublishConflict,
+                          "publication " + outcome.winner.value() + " was accepted first"};
+    Json body = Json::parse(FailureBody(failure));
+    body["winner"] = outcome.winner.value();
+    return JsonResponse(409, body.dump());
+  }
+  AddSidecars(outcome);
+  Json in_force = Json::array();
+  for (const InForce& entry : outcome.in_force) {
+    in_force.push_back({{"process", entry.process}, {"epoch", entry.epoch.value()}});
+  }
+  return JsonResponse(200, Json{{"epoch", outcome.epoch.value()},
+                                {"publication", publication.value()},
+                                {"in_force", std::move(in_force)}}
+                               .dump());
+}
+
+void OperatorCommands::AddSidecars(PublishOutcome& outcome) const {
+  const auto reached = [&](const EndpointReport& endpoint) {
+    return !endpoint.heard || endpoint.report.epoch >= outcome.epoch;
+  };
+  routes_.WaitUntil(std::chrono::steady_clock::now() + kInForceWait, [&](const RouteSnapshot& s) {
+    return std::all_of(s.endpoints.begin(), s.endpoints.end(), reached);
+  });
+  for (const EndpointReport& endpoint : routes_.snapshot()->endpoints) {
+    if (!endpoint.heard) continue;
+    outcome.in_force.push_back({endpoint.endpoint.value(), endpoint.report.epoch});
+  }
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/operator_commands.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "bamboodock/command/entry/publisher.h"
+#include "bamboodock/command/entry/route_duty.h"
+#include "bamboodock/transport/http_types.h"
+
+namespace bamboodock {
+
+/// HTTP commands of operators: `POST /commands/<name>`.
+class OperatorCommands {
+ public:
+  OperatorCommands(Publisher& publisher, const RouteDuty& routes)
+      : publisher_(publisher), routes_(routes) {}
+
+  /// Carries out a command, or answers 404 when no route has the path.
+  HttpResponse Answer(const HttpRequest& request);
+
+ private:
+  Result<HttpResponse> Publish(const HttpRequest& request);
+  Result<HttpResponse> Drain(const HttpRequest& request);
+  Result<HttpResponse> Restore(const HttpRequest& request);
+  Result<HttpResponse> Withdraw(const HttpRequest& request);
+
+  Result<HttpResponse> SetDrained(const HttpRequest& request, bool drained);
+  HttpResponse Report(const PublicationId& publication, PublishOutcome outcome) const;
+  /// Waits for the sidecars and adds those that reported the epoch.
+  void AddSidecars(PublishOutcome& outcome) const;
+
+  Publisher& publisher_;
+  const RouteDuty& routes_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/route_duty.cc
@@ -0,0 +1,386 @@
+#include "bamboodock/command/entry/route_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bamboodock/policy/endpoint_strategy.h"
+#include "bamboodock/policy/overload_level.h"
+#include "bamboodock/policy/version_strategy.h"
+
+namespace bamboodock {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{250};
+/// A sidecar that was not heard for this long gets no new work.
+constexpr std::chrono::milliseconds kReportLimit{4000};
+constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
+constexpr Ratio kRetryShare{0.1};
+constexpr double kRetryReserve = 20;
+constexpr Ratio kReturnShare{0.1};
+constexpr std::chrono::seconds kReturnTime{60};
+/// Size of a typical request, for the expected cost of a step.
+constexpr Tokens kTypicalPrompt{800};
+constexpr Tokens kTypicalCompletion{200};
+/// Weight of the newest sample in the smoothed latency of a version.
+constexpr int kLatencyWeight = 8;
+
+WorkQuery QueryFor(const RouteGoal& goal, const CascadeStep& step) {
+  WorkQuery query;
+  query.account = goal.account;
+  query.service = goal.service;
+  query.model = step.model;
+  query.version = step.version;
+  query.continues_session = goal.pinned.has_value();
+  return query;
+}
+
+bool Same(const CascadeStep& a, const CascadeStep& b) {
+  return a.model == b.model && a.version == b.version;
+}
+
+/// Splits "model@version"; the version is empty when none is named.
+CascadeStep ParseTarget(const std::string& target) {
+  const std::size_t at = target.find('@');
+  if (at == std::string::npos) return {ModelId(target), VersionId()};
+  return {ModelId(target.substr(0, at)), VersionId(target.substr(at + 1))};
+}
+
+}  // namespace
+
+RouteDuty::RouteDuty(Parts parts)
+    : parts_(parts),
+      random_(parts.seed),
+      retries_(kRetryShare, kRetryReserve),
+      endpoint_chooser_(MakeEndpointChooser()),
+      version_chooser_(MakeVersionChooser()) {
+  Publish();
+}
+
+void RouteDuty::Handle(RouteCommand& command) {
+  std::visit([this](auto& c) { Apply(c); }, command);
+}
+
+MonotonicTime RouteDuty::Tick() {
+  FollowZones(*parts_.config.snapshot());
+  Publish();
+  return std::chrono::steady_clock::now() + kTickInterval;
+}
+
+void RouteDuty::Apply(AdmitCommand& command) {
+  const auto now = std::chrono::steady_clock::now();
+  const ClientAccount* account = command.set->Find(command.account);
+  std::optional<Failure> failure;
+  if (account == nullptr) {
+    failure = Failure{ResultCode::kUnauthorized, "the client account is not in the set"};
+  } else {
+    const AccountVerdict verdict = limiter_.Admit(*account, now);
+    if (verdict != AccountVerdict::kAdmitted) {
+      const bool rate = verdict == AccountVerdict::kRateLimit;
+      failure = Failure{
+          rate ? ResultCode::kAccountRateLimit : ResultCode::kAccountConcurrencyLimit,
+          "the client account is at its limit", RunState::kNotRun,
+          std::chrono::ceil<std::chrono::milliseconds>(limiter_.RetryAfter(*account, now))};
+    }
+  }
+  if (!failure) {
+    ++totals_.requests;
+    ++totals_.open;
+    retries_.OnRequest();
+  }
+  command.reply->TryPush(failure);
+}
+
+void RouteDuty::Apply(PlanCommand& command) {
+  PlanReply reply = MakePlan(command);
+  if (reply.plan) {
+    EndpointState& state = endpoints_[reply.plan->endpoint];
+    state.in_flight = state.in_flight.Next();
+  }
+  command.reply->TryPush(std::move(reply));
+}
+
+void RouteDuty::Apply(AttemptEndedCommand& command) {
+  EndpointState& state = endpoints_[command.endpoint];
+  if (state.in_flight.value() > 0) state.in_flight -= Concurrency(1);
+  if (!command.ok || command.version.empty()) return;
+  Duration& latency = versions_[{command.model, command.version}].latency;
+  latency += (command.total - latency) / kLatencyWeight;
+}
+
+void RouteDuty::Apply(AnswerCheckedCommand& command) {
+  quality_.Checked({command.version, command.kind, command.escalated}, command.accepted,
+                   std::chrono::steady_clock::now());
+}
+
+void RouteDuty::Apply(RequestEndedCommand& command) {
+  limiter_.Release(command.account);
+  if (totals_.open > 0) --totals_.open;
+  if (!command.ok) {
+    ++totals_.failed;
+    return;
+  }
+  totals_.cost += command.cost;
+  totals_.first_byte.Add(command.first_byte);
+  totals_.total.Add(command.total);
+}
+
+void RouteDuty::Apply(SyncReportCommand& command) {
+  EndpointState& state = endpoints_[command.report.endpoint];
+  for (const VersionCounters& entry : command.report.evidence) {
+    const VersionKey key{entry.model, entry.version};
+    VersionState& version = versions_[key];
+    version.evidence.Merge(command.report.incarnation, entry.counters);
+    Judge(key, version);
+  }
+  state.report = std::move(command.report);
+  state.received = command.received;
+  state.heard = true;
+}
+
+PlanReply RouteDuty::MakePlan(const PlanCommand& command) {
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  if (command.is_retry && !retries_.TryRetry()) {
+    return {std::nullopt, {ResultCode::kRetryBudgetSpent, "too many attempts are failing",
+                           RunState::kNotRun, kNoEndpointRetry}};
+  }
+  if (command.is_retry) ++totals_.retries;
+  return HandleFailure(
+      [&]() -> Result<PlanReply> {
+        PlanReply reply;
+        Plan plan;
+        CascadeStep step;
+        if (command.goal.service.empty()) {
+          BOOST_LEAF_AUTO(steps, Candidates(*config, command.goal));
+          const std::optional<CascadeStep> chosen = ChooseStep(*config, command, steps, plan);
+          if (!chosen) {
+            return Raise(Failure{ResultCode::kNoEndpoint, "no step of the cascade can run now",
+                                 RunState::kNotRun, kNoEndpointRetry});
+          }
+          step = *chosen;
+        }
+        const WorkQuery work = QueryFor(command.goal, step);
+        if (const auto failure = PermissionFailure(*config, work, false)) return Raise(*failure);
+        const Endpoint* endpoint =
+            ChooseEndpoint(Eligible(*config, work, command.excluded), command.goal);
+        if (endpoint == nullptr) {
+          return Raise(Failure{ResultCode::kNoEndpoint, "no endpoint can take the request now",
+                               RunState::kNotRun, kNoEndpointRetry});
+        }
+        plan.endpoint = endpoint->id;
+        BOOST_LEAF_ASSIGN(plan.address, ParseAddress(endpoint->address));
+        plan.model = step.model;
+        plan.version = step.version;
+        plan.epoch = config->epoch();
+        plan.priority = config->set()->Find(command.goal.account)->priority;
+        reply.plan = plan;
+        return reply;
+      },
+      [](const Failure& failure) { return PlanReply{std::nullopt, failure}; });
+}
+
+Result<std::vector<CascadeStep>> RouteDuty::Candidates(const ConfigSnapshot& config,
+                                                       const RouteGoal& goal) {
+  if (goal.pinned) return std::vector<CascadeStep>{*goal.pinned};
+  const ObjectSet& set = *config.set();
+  if (const Cascade* cascade = set.Find(CascadeId(goal.target))) return cascade->steps;
+  const CascadeStep named = ParseTarget(goal.target);
+  if (!named.version.empty()) return std::vector<CascadeStep>{named};
+  const Model* model = set.Find(named.model);
+  if (model == nullptr) {
+    return Raise(ResultCode::kUnknownModel, "no model or cascade is named '" + goal.target + "'");
+  }
+  BOOST_LEAF_AUTO(step, PickShare(config, goal, *model));
+  return std::vector<CascadeStep>{step};
+}
+
+Result<CascadeStep> RouteDuty::PickShare(const ConfigSnapshot& config, const RouteGoal& goal,
+                                         const Model& model) {
+  std::vector<VersionShare> open;
+  double sum = 0;
+  std::optional<Failure> reason;
+  for (const VersionShare& share : model.shares) {
+    const CascadeStep step{model.id, share.version};
+    reason = PermissionFailure(config, QueryFor(goal, step), false);
+    if (reason || versions_[{model.id, share.version}].stopped) continue;
+    open.push_back(share);
+    sum += share.share.value();
+  }
+  if (open.empty()) {
+    return Raise(reason.value_or(
+        Failure{ResultCode::kVersionWithdrawn, "no version of the model takes new sessions"}));
+  }
+  double draw = random_.Uniform() * sum;
+  for (const VersionShare& share : open) {
+    draw -= share.share.value();
+    if (draw < 0) return CascadeStep{model.id, share.version};
+  }
+  return CascadeStep{model.id, open.back().version};
+}
+
+std::optional<CascadeStep> RouteDuty::ChooseStep(const ConfigSnapshot& config,
+                                                 const PlanCommand& command,
+                                                 const std::vector<CascadeStep>& steps,
+                                                 Plan& plan) {
+  const Cascade* cascade = config.set()->Find(CascadeId(command.goal.target));
+  if (steps.size() == 1 || cascade == nullptr) {
+    return command.rejected.empty() ? std::optional(steps.front()) : std::nullopt;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<StepOption> options;
+  std::vector<CascadeStep> runnable;
+  VersionQuery query;
+  for (const CascadeStep& step : steps) {
+    const WorkQuery work = QueryFor(command.goal, step);
+    if (PermissionFailure(config, work, false)) continue;
+    if (versions_[{step.model, step.version}].stopped) continue;
+    const bool was_rejected =
+        std::any_of(command.rejected.begin(), command.rejected.end(),
+                    [&](const CascadeStep& rejected) { return Same(rejected, step); });
+    if (!was_rejected && Eligible(config, work, command.excluded).empty()) continue;
+    const Version& version = *config.set()->Find(step.model, step.version);
+    const QualityKey key{step.version, command.goal.kind, false};
+    const QualityKey escalated{step.version, command.goal.kind, true};
+    const Ratio prior = version.QualityFor(command.goal.kind.value());
+    quality_.SetPrior(key, prior);
+    quality_.SetPrior(escalated, prior);
+    StepOption option;
+    option.version = step.version;
+    option.expected_cost = version.Cost(kTypicalPrompt, kTypicalCompletion);
+    option.expected_latency = versions_[{step.model, step.version}].latency;
+    option.quality = quality_.QualityOf(key, now);
+    option.quality_escalated = quality_.QualityOf(escalated, now);
+    option.acceptance = quality_.Acceptance(key, now);
+    if (was_rejected) query.rejected = options.size();
+    options.push_back(option);
+    runnable.push_back(step);
+  }
+  query.kind = command.goal.kind;
+  query.steps = options;
+  query.steps_taken = StepNumber(static_cast<std::uint32_t>(command.rejected.size()));
+  query.max_steps = cascade->max_steps;
+  query.quality_target = cascade->quality_target;
+  query.remaining = command.deadline - now;
+  query.overload = Overload(config);
+  const std::optional<std::size_t> chosen = version_chooser_->Next(query, random_);
+  if (!chosen) return std::nullopt;
+  const std::uint32_t taken = query.steps_taken.value() + 1;
+  plan.may_escalate = *chosen + 1 < options.size() && taken < cascade->max_steps.value();
+  plan.accept_confidence = cascade->accept_confidence;
+  return runnable[*chosen];
+}
+
+std::optional<Failure> RouteDuty::PermissionFailure(const ConfigSnapshot& config,
+                                                    const WorkQuery& work,
+                                                    bool with_endpoint) const {
+  const auto check = with_endpoint ? &CheckPermission : &CheckVersion;
+  std::optional<Failure> failure = check(*config.set(), work);
+  for (const PublishedSet& pending : config.pending()) {
+    if (!failure) failure = check(*pending.set, work);
+  }
+  return failure;
+}
+
+std::vector<const Endpoint*> RouteDuty::Eligible(const ConfigSnapshot& config,
+                                                 const WorkQuery& work,
+                                                 const std::set<EndpointId>& excluded) const {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<const Endpoint*> eligible;
+  WorkQuery query = work;
+  for (const Endpoint& endpoint : config.set()->endpoints()) {
+    if (excluded.contains(endpoint.id)) continue;
+    const auto state = endpoints_.find(endpoint.id);
+    // An endpoint that was never heard is not tried: its sidecar may not have started.
+    if (state == endpoints_.end() || !state->second.heard) continue;
+    if (state->second.report.leaving || now - state->second.received > kReportLimit) continue;
+    query.endpoint = endpoint.id;
+    if (!PermissionFailure(config, query, true)) eligible.push_back(&endpoint);
+  }
+  return eligible;
+}
+
+const Endpoint* RouteDuty::ChooseEndpoint(const std::vector<const Endpoint*>& eligible,
+                                          const RouteGoal& goal) {
+  std::vector<EndpointView> views;
+  for (const Endpoint* endpoint : eligible) views.push_back(ViewOf(*endpoint));
+  const EndpointQuery query{goal.affinity, parts_.local_zone};
+  const std::optional<std::size_t> chosen = endpoint_chooser_->Choose(views, query, random_);
+  return chosen ? eligible[*chosen] : nullptr;
+}
+
+EndpointView RouteDuty::ViewOf(const Endpoint& endpoint) const {
+  EndpointView view;
+  view.id = endpoint.id;
+  view.availability_zone = endpoint.availability_zone;
+  view.limit = endpoint.cold_limit;
+  const auto zone = zones_.find(endpoint.availability_zone);
+  if (zone != zones_.end()) view.zone_share = zone->second.Share(std::chrono::steady_clock::now());
+  const auto found = endpoints_.find(endpoint.id);
+  if (found == endpoints_.end()) return view;
+  const EndpointState& state = found->second;
+  view.in_flight = state.in_flight;
+  if (!state.heard) return view;
+  view.reported_load = state.report.in_flight;
+  view.report_age = std::chrono::steady_clock::now() - state.received;
+  view.limit = state.report.limit;
+  view.warm = state.report.warm;
+  return view;
+}
+
+OverloadLevel RouteDuty::Overload(const ConfigSnapshot& config) const {
+  double used = 0;
+  double places = 0;
+  for (const Endpoint& endpoint : config.set()->endpoints()) {
+    const auto found = endpoints_.find(endpoint.id);
+    if (found == endpoints_.end() || endpoint.kind != EndpointKind::kEngine) continue;
+    used += found->second.report.in_flight.value();
+    places += found->second.report.limit.value();
+  }
+  return OverloadLevelFor(Ratio(places > 0 ? used / places : 0));
+}
+
+void RouteDuty::Judge(const VersionKey& key, VersionState& state) {
+  const std::optional<EvidenceSignal> signal = state.guard.Observe(state.evidence.total());
+  if (!signal || state.stopped) return;
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  const Version* version =
+      config->set() != nullptr ? config->set()->Find(key.first, key.second) : nullptr;
+  if (version == nullptr || version->stage == VersionStage::kWithdrawn) return;
+  state.stopped = true;
+  parts_.timeline.Record(Event::kVersionStopped, RequestId(),
+                         key.first.value() + "@" + key.second.value() +
+                             " signal=" + std::to_string(static_cast<int>(*signal)));
+  parts_.stops.OnVersionStopped(key.first, key.second);
+}
+
+void RouteDuty::FollowZones(const ConfigSnapshot& config) {
+  if (config.set() == nullptr || config.epoch() == zones_epoch_) return;
+  zones_epoch_ = config.epoch();
+  for (const AvailabilityZone& zone : config.set()->availability_zones()) {
+    ZoneRamp& ramp = zones_.try_emplace(zone.id, kReturnShare, kReturnTime).first->second;
+    if (zone.drained) {
+      ramp.Left();
+    } else {
+      ramp.Returned(std::chrono::steady_clock::now());
+    }
+  }
+}
+
+void RouteDuty::Publish() {
+  auto snapshot = MakeRef<RouteSnapshot>(totals_);
+  const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [id, state] : endpoints_) {
+    EndpointReport report;
+    report.endpoint = id;
+    const Endpoint* endpoint = config->set() != nullptr ? config->set()->Find(id) : nullptr;
+    if (endpoint != nullptr) report.availability_zone = endpoint->availability_zone;
+    report.report = state.report;
+    report.in_flight = state.in_flight;
+    report.heard = state.heard;
+    report.age = state.heard ? now - state.received : Duration::zero();
+    snapshot->endpoints.push_back(std::move(report));
+  }
+  snapshot_.Store(snapshot);
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/route_duty.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "bamboodock/command/config/config_duty.h"
+#include "bamboodock/command/entry/route_messages.h"
+#include "bamboodock/core/duty.h"
+#include "bamboodock/core/snapshot_cell.h"
+#include "bamboodock/observe/latency_summary.h"
+#include "bamboodock/observe/timeline.h"
+#include "bamboodock/policy/account_limiter.h"
+#include "bamboodock/policy/endpoint_chooser.h"
+#include "bamboodock/policy/permission.h"
+#include "bamboodock/policy/quality_table.h"
+#include "bamboodock/policy/random.h"
+#include "bamboodock/policy/retry_budget.h"
+#include "bamboodock/policy/rollout_guard.h"
+#include "bamboodock/policy/version_chooser.h"
+#include "bamboodock/policy/version_evidence.h"
+#include "bamboodock/policy/zone_ramp.h"
+
+namespace bamboodock {
+
+/// What the entry last heard of an endpoint.
+struct EndpointReport {
+  EndpointId endpoint;
+  AvailabilityZoneId availability_zone;
+  SyncRequest report;
+  Concurrency in_flight;
+  Duration age{};
+  bool heard = false;
+};
+
+/// State of routing at one moment, for queries.
+class RouteSnapshot : public RefCounted<RouteSnapshot> {
+ public:
+  std::vector<EndpointReport> endpoints;
+  std::uint64_t requests = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t open = 0;
+  CostMicros cost;
+  LatencySummary first_byte;
+  LatencySummary total;
+};
+
+/// Told when the evidence against a version calls for its withdrawal.
+class VersionStopListener {
+ public:
+  virtual ~VersionStopListener() = default;
+  virtual void OnVersionStopped(const ModelId& model, const VersionId& version) = 0;
+};
+
+/// Owner of load views, account limits, retry budget, quality estimates and roll-out evidence.
+class RouteDuty : public Duty<RouteDuty, RouteCommand> {
+ public:
+  struct Parts {
+    AvailabilityZoneId local_zone;
+    ConfigDuty& config;
+    TimelineDuty& timeline;
+    VersionStopListener& stops;
+    std::uint64_t seed;
+  };
+
+  explicit RouteDuty(Parts parts);
+  ~RouteDuty() { Stop(); }
+
+  Ref<const RouteSnapshot> snapshot() const { return snapshot_.Load(); }
+  template <class Predicate>
+  bool WaitUntil(MonotonicTime deadline, Predicate predicate) const {
+    return snapshot_.WaitUntil(deadline, predicate);
+  }
+
+  void Handle(RouteCommand& command);
+  MonotonicTime Tick();
+
+ private:
+  struct EndpointState {
+    Concurrency in_flight;
+    SyncRequest report;
+    MonotonicTime received;
+    bool heard = false;
+  };
+  struct VersionState {
+    VersionEvidence evidence;
+    RolloutGuard guard;
+    bool stopped = false;
+    /// Smoothed time of a whole answer.
+    Duration latency = std::chrono::seconds(1);
+  };
+  using VersionKey = std::pair<ModelId, VersionId>;
+
+  void Apply(AdmitCommand& command);
+  void Apply(PlanCommand& command);
+  void Apply(AttemptEndedCommand& command);
+  void Apply(AnswerCheckedCommand& command);
+  void Apply(RequestEndedCommand& command);
+  void Apply(SyncReportCommand& command);
+
+  PlanReply MakePlan(const PlanCommand& command);
+  /// Candidate steps of the request: one for a model, several for a cascade.
+  Result<std::vector<CascadeStep>> Candidates(const ConfigSnapshot& config, const RouteGoal& goal);
+  Result<CascadeStep> PickShare(const ConfigSnapshot& config, const RouteGoal& goal,
+                                const Model& model);
+  /// Endpoints of the set that may take the work now.
+  std::vector<const Endpoint*> Eligible(const ConfigSnapshot& config, const WorkQuery& work,
+                                        const std::set<EndpointId>& excluded) const;
+  std::optional<CascadeStep> ChooseStep(const ConfigSnapshot& config, const PlanCommand& command,
+                                        const std::vector<CascadeStep>& steps, Plan& plan);
+  const Endpoint* ChooseEndpoint(const std::vector<const Endpoint*>& eligible,
+                                 const RouteGoal& goal);
+  EndpointView ViewOf(const Endpoint& endpoint) const;
+  std::optional<Failure> PermissionFailure(const ConfigSnapshot& config, const WorkQuery& work,
+                                           bool with_endpoint) const;
+  OverloadLevel Overload(const ConfigSnapshot& config) const;
+  void Judge(const VersionKey& key, VersionState& state);
+  void FollowZones(const ConfigSnapshot& config);
+  void Publish();
+
+  Parts parts_;
+  Random random_;
+  AccountLimiter limiter_;
+  RetryBudget retries_;
+  QualityTable quality_;
+  std::unique_ptr<EndpointChooser> endpoint_chooser_;
+  std::unique_ptr<VersionChooser> version_chooser_;
+  std::unordered_map<EndpointId, EndpointState> endpoints_;
+  std::map<VersionKey, VersionState> versions_;
+  std::map<AvailabilityZoneId, ZoneRamp> zones_;
+  Epoch zones_epoch_;
+  RouteSnapshot totals_;
+  SnapshotCell<RouteSnapshot> snapshot_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/settle_duty.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "bamboodock/command/config/config_duty.h"
+#include "bamboodock/command/ledger/ledger_duty.h"
+#include "bamboodock/core/duty.h"
+
+namespace bamboodock {
+
+/// The record of a request is confirmed; the sidecar that holds it too may forget it.
+struct SettleCommand {
+  RequestId request;
+  StepNumber step;
+  EndpointId endpoint;
+};
+
+/// Tells sidecars which billing records are confirmed.
+///
+/// A settlement that is lost is harmless: the sidecar then reads the row itself.
+class SettleDuty : public Duty<SettleDuty, SettleCommand>, public SettlementListener {
+ public:
+  explicit SettleDuty(const ConfigDuty& config) : config_(config) {}
+  ~SettleDuty() override { Stop(); }
+
+  void OnConfirmed(const BillingRecord& record, const EndpointId& endpoint) override {
+    Post(SettleCommand{record.request, record.step, endpoint});
+  }
+
+  void Handle(SettleCommand& command);
+  MonotonicTime Tick() { return std::chrono::steady_clock::now() + std::chrono::hours(1); }
+
+ private:
+  const ConfigDuty& config_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/store_watch_duty.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "bamboodock/codec/row_codec.h"
+#include "bamboodock/command/config/config_duty.h"
+#include "bamboodock/core/duty.h"
+#include "bamboodock/platform/object_store.h"
+#include "bamboodock/platform/table.h"
+#include "bamboodock/transport/rpc_client.h"
+
+namespace bamboodock {
+
+/// Asks the watch to read the head row now.
+struct ReadHeadCommand {};
+
+/// Reads the accepted configuration from the store, and asks the witnesses when it is down.
+class StoreWatchDuty : public Duty<StoreWatchDuty, ReadHeadCommand> {
+ public:
+  struct Parts {
+    HostId self;
+    ConfigDuty& config;
+    TableQueries& table;
+    ObjectQueries& objects;
+    std::vector<Address> peers;
+  };
+
+  explicit StoreWatchDuty(Parts parts);
+  ~StoreWatchDuty() { Stop(); }
+
+  void Handle(ReadHeadCommand& command);
+  MonotonicTime Tick();
+
+ private:
+  void Watch();
+  bool ReadStore();
+  Result<bool> Install(const HeadRow& head);
+  void AskWitness(const RpcClient& witness);
+
+  Parts parts_;
+  std::vector<RpcClient> witnesses_;
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/entry/withdraw_duty.cc
@@ -0,0 +1,48 @@
+#include "bamboodock/command/entry/withdraw_duty.h"
+
+#include <algorithm>
+
+namespace bamboodock {
+namespace {
+
+constexpr std::chrono::seconds kRetryInterval{5};
+
+}  // namespace
+
+SetEdit StageEdit(const ModelId& model, const VersionId& version, VersionStage stage) {
+  return [=](const ObjectSet* current) -> Result<Ref<const ObjectSet>> {
+    if (current == nullptr || current->Find(model, version) == nullptr) {
+      return Raise(ResultCode::kNotFound,
+                   "no version " + model.value() + "@" + version.value() + " in the set");
+    }
+    ObjectSetBuilder builder(*current);
+    builder.SetStage(model, version, stage);
+    if (stage != VersionStage::kActive) builder.RemoveShare(model, version);
+    return builder.Build();
+  };
+}
+
+void WithdrawDuty::Handle(WithdrawVersionCommand& command) {
+  if (!Publish(command)) waiting_.push_back(command);
+}
+
+MonotonicTime WithdrawDuty::Tick() {
+  std::erase_if(waiting_, [this](const WithdrawVersionCommand& c) { return Publish(c); });
+  return std::chrono::steady_clock::now() + kRetryInterval;
+}
+
+bool WithdrawDuty::Publish(const WithdrawVersionCommand& command) {
+  return HandleFailure(
+      [&]() -> Result<bool> {
+        const PublicationId id(ids_.Next("withdraw-"));
+        const SetEdit edit = StageEdit(command.model, command.version, VersionStage::kWithdrawn);
+        BOOST_LEAF_AUTO(outcome, publisher_->Edit(id, edit));
+        return outcome.winner.empty();
+      },
+      [](const Failure& failure) {
+        // A version that is gone needs no withdrawal.
+        return failure.code == ResultCode::kNotFound;
+      });
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/query/entry/reattach_query.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bamboodock/command/entry/request_context.h"
+#include "bamboodock/transport/http_server.h"
+
+namespace bamboodock {
+
+/// `GET /v1/requests/<handle>`: attaches a caller to an answer that any entry began.
+class ReattachQuery {
+ public:
+  explicit ReattachQuery(RequestContext& context) : context_(context) {}
+
+  void Handle(const HttpRequest& request, ResponseWriter& writer);
+
+ private:
+  Result<bool> Run(const HttpRequest& request, ResponseWriter& writer);
+  void PassStream(const RequestHandle& handle, const Address& peer, ResponseWriter& writer);
+  void PassWhole(const RequestHandle& handle, const Address& peer, ResponseWriter& writer);
+
+  RequestContext& context_;
+};
+
+inline constexpr std::string_view kRequestsPrefix = "/v1/requests/";
+
+}  // namespace bamboodock
