--- a/src/bamboodock/command/ledger/ledger_duty.cc
+++ b/src/bamboodock/command/ledger/ledger_duty.cc
@@ -65,7 +65,11 @@
       backlog_.Postpone(due->request, now + kRetryInterval);
     }
   }
-  return backlog_.NextDue().value_or(now + kIdleInterval);
+  return Due();
+}
+
+MonotonicTime LedgerDuty::Due() const {
+  return backlog_.NextDue().value_or(std::chrono::steady_clock::now() + kIdleInterval);
 }
 
 void LedgerDuty::Apply(HoldRecordCommand& command) {
--- a/src/bamboodock/command/ledger/ledger_duty.h
+++ b/src/bamboodock/command/ledger/ledger_duty.h
@@ -63,6 +63,7 @@
 
   void Handle(LedgerCommand& command);
   MonotonicTime Tick();
+  MonotonicTime Due() const;
 
  private:
   void Apply(HoldRecordCommand& command);
