Add bamboodock-ctl and bamboodock-query

Cause: operators need commands and queries against any entry, with outcomes that scripts can act on.

A command goes to the next entry when it could not be sent, or when its answer was lost, with the same publication id. After a lost answer only an acceptance is conclusive; anything else is exit code 5.

Conclusion: both programs work against a scripted entry; a run against the real entry is still open.

--- a/src/bamboodock/codec/object_set_codec.h
+++ b/src/bamboodock/codec/object_set_codec.h
@@ -5,14 +5,15 @@
 #include <string_view>
 #include <vector>
 
+#include "bamboodock/config/config.h"
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/objects/object_set.h"
 #include "bamboodock/objects/set_error.h"
 
 namespace bamboodock {
 
-/// Largest accepted text of an object set; 3,700 endpoints take about 1 MB.
-inline constexpr std::size_t kMaxObjectSetBytes = 4U << 20U;
+/// Largest accepted text of an object set; leaves room in a request body for the rest of `publish`.
+inline constexpr std::size_t kMaxObjectSetBytes = config::kMaxBodyBytes - 4096;
 
 /// Errors listed at most, so that a malformed text cannot exhaust memory.
 inline constexpr std::size_t kMaxSetErrors = 1000;
--- /dev/null
+++ b/src/bamboodock/codec/set_file.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "bamboodock/core/result.h"
+
+namespace bamboodock {
+
+/// Reads the file of an object set; fails with `kBadSetting` when it cannot be read or is larger
+/// than an object set may be.
+Result<std::string> ReadSetFile(const std::string& path);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/command/operator/operator_commands_test.cc
@@ -0,0 +1,152 @@
+#include "bamboodock/command/operator/operator_commands.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+#include "bamboodock/command/operator/publication_id.h"
+#include "fakes/fake_entry_caller.h"
+
+namespace bamboodock {
+
+class OperatorCommandsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OperatorCommandsTest);
+  CPPUNIT_TEST(SkipsEntriesThatCannotBeReached);
+  CPPUNIT_TEST(RepeatsALostAnswerWithTheSamePublication);
+  CPPUNIT_TEST(RefusalAfterALostAnswerIsNotConclusive);
+  CPPUNIT_TEST(ReportsEachExitCode);
+  CPPUNIT_TEST(UnstatedRunStateOfServerErrorIsUnknown);
+  CPPUNIT_TEST(SendsNothingOnWrongUsage);
+  CPPUNIT_TEST(EncodesEveryCommand);
+  CPPUNIT_TEST(PublishSendsTheTextAsWritten);
+  CPPUNIT_TEST(MakesDistinctPublicationIds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    caller_ = FakeEntryCaller();
+    out_.str("");
+    err_.str("");
+  }
+
+  // Guards against a command that fails because the first entry of the list is down.
+  void SkipsEntriesThatCannotBeReached() {
+    caller_.Answer(2, 200, kReceipt);
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOk);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, caller_.calls().size());
+    CPPUNIT_ASSERT(out_.str().find("epoch 8") != std::string::npos);
+  }
+
+  // Guards against a second publication when only the answer to the first was lost.
+  void RepeatsALostAnswerWithTheSamePublication() {
+    caller_.LoseAnswer(1);
+    caller_.Answer(2, 200, kReceipt);
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOk);
+    CPPUNIT_ASSERT_EQUAL(caller_.calls()[0].request.body, caller_.calls()[1].request.body);
+  }
+
+  // Guards against "refused" for a command that the silent entry may still carry out.
+  void RefusalAfterALostAnswerIsNotConclusive() {
+    caller_.LoseAnswer(1);
+    caller_.Answer(2, 503, R"({"error":{"message":"m","type":"not_fresh","run":"not_run"}})");
+    CPPUNIT_ASSERT(Run({"drain", "west"}, true) == ExitCode::kOutcomeUnknown);
+    CPPUNIT_ASSERT(out_.str().find(R"("run":"unknown")") != std::string::npos);
+    CPPUNIT_ASSERT(err_.str().find("--publication=pub-1") != std::string::npos);
+  }
+
+  // Guards against scripts that take a failure for success or cannot tell failures apart.
+  void ReportsEachExitCode() {
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kUnreachable);
+    caller_.LoseAnswer(2);
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOutcomeUnknown);
+    caller_.Answer(1, 409,
+                   R"({"error":{"message":"m","type":"publish_conflict","run":"not_run"},)"
+                   R"("winner":"pub-9"})");
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kConflict);
+    CPPUNIT_ASSERT(err_.str().find("pub-9") != std::string::npos);
+    caller_.Answer(1, 422, R"({"errors":[{"object":"model a","field":"shares","message":"sum"}]})");
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kRefused);
+    CPPUNIT_ASSERT(err_.str().find("model a") != std::string::npos);
+    caller_.Answer(1, 502, R"({"error":{"message":"m","type":"outcome_unknown","run":"unknown"}})");
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOutcomeUnknown);
+  }
+
+  // Guards against "not run" invented for an answer that does not say so.
+  void UnstatedRunStateOfServerErrorIsUnknown() {
+    caller_.Answer(1, 500, "broken");
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOutcomeUnknown);
+    caller_.Answer(1, 404, "no such page");
+    CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kRefused);
+  }
+
+  // Guards against a mistyped command that reaches the router.
+  void SendsNothingOnWrongUsage() {
+    using Arguments = std::vector<std::string>;
+    for (const Arguments& arguments :
+         {Arguments{}, Arguments{"drian", "west"}, Arguments{"drain"}, Arguments{"drain", "a", "b"},
+          Arguments{"drain", "a b"}, Arguments{"withdraw", "model"}, Arguments{"withdraw", "m@v@w"},
+          Arguments{"publish", "/nonexistent/set.json"}}) {
+      CPPUNIT_ASSERT(Run(arguments) == ExitCode::kWrongUsage);
+    }
+    CPPUNIT_ASSERT(caller_.calls().empty());
+  }
+
+  // Guards against a body that the operator API does not understand.
+  void EncodesEveryCommand() {
+    caller_.Answer(1, 200, kReceipt);
+    Run({"drain", "west"});
+    ExpectLast("/commands/drain", R"({"availability_zone":"west","publication":"pub-1"})");
+    Run({"restore", "west"});
+    ExpectLast("/commands/restore", R"({"availability_zone":"west","publication":"pub-1"})");
+    Run({"withdraw", "m@v"});
+    ExpectLast("/commands/withdraw",
+               R"({"model":"m","publication":"pub-1","stage":"withdrawn","version":"v"})");
+  }
+
+  // Guards against a set that changes between the operator's file and the router's check.
+  void PublishSendsTheTextAsWritten() {
+    caller_.Answer(1, 200, kReceipt);
+    CPPUNIT_ASSERT(Run({"publish", BAMBOODOCK_EXAMPLES "/emva.json"}) == ExitCode::kOk);
+    const std::string& body = caller_.calls().back().request.body;
+    CPPUNIT_ASSERT(body.starts_with(R"({"publication":"pub-1","set":{)"));
+    CPPUNIT_ASSERT(body.find(R"("rate": 40, "burst": 80)") != std::string::npos);
+    CPPUNIT_ASSERT(IsJson(body));
+  }
+
+  // Guards against two operators whose publications get the same id.
+  void MakesDistinctPublicationIds() {
+    const auto make = [] {
+      return HandleFailure([] { return MakePublicationId(); },
+                           [](const Failure& /*failure*/) { return PublicationId(); });
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{32}, make().value().size());
+    CPPUNIT_ASSERT(make() != make());
+  }
+
+ private:
+  static constexpr const char* kReceipt =
+      R"({"epoch":8,"publication":"pub-1","in_force":[{"process":"entry-1","epoch":8}]})";
+
+  ExitCode Run(const std::vector<std::string>& arguments, bool json = false) {
+    CommandSender sender(caller_, {FakeEntryCaller::Entry(1), FakeEntryCaller::Entry(2)});
+    CommandSettings settings;
+    settings.publication = PublicationId("pub-1");
+    settings.json = json;
+    return OperatorCommands(sender, settings, out_, err_).Run(arguments);
+  }
+
+  void ExpectLast(const std::string& path, const std::string& body) const {
+    const HttpRequest& request = caller_.calls().back().request;
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
+    CPPUNIT_ASSERT_EQUAL(path, request.path);
+    CPPUNIT_ASSERT_EQUAL(body, request.body);
+  }
+
+  FakeEntryCaller caller_;
+  std::ostringstream out_;
+  std::ostringstream err_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCommandsTest);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/fakes/fake_entry_caller.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bamboodock/transport/entry_caller.h"
+
+namespace bamboodock {
+
+/// Entries with scripted answers; an entry without a script refuses the connection.
+class FakeEntryCaller final : public EntryCaller {
+ public:
+  struct SeenCall {
+    Address entry;
+    HttpRequest request;
+  };
+
+  static Address Entry(std::uint16_t port) { return Address{"127.0.0.1", port}; }
+
+  /// Entry that answers every request.
+  void Answer(std::uint16_t port, int status, std::string body) {
+    HttpResponse response;
+    response.status = status;
+    response.body = std::move(body);
+    answers_[port] = std::move(response);
+  }
+  /// Entry that gets the request and does not answer.
+  void LoseAnswer(std::uint16_t port) { silent_.push_back(port); }
+
+  Result<HttpResponse> Call(const Address& entry, const HttpRequest& request) override {
+    calls_.push_back({entry, request});
+    for (const std::uint16_t port : silent_) {
+      if (port == entry.port) {
+        return Raise(ResultCode::kConnectionSilent, "no response", RunState::kUnknown);
+      }
+    }
+    const auto found = answers_.find(entry.port);
+    if (found != answers_.end()) return found->second;
+    return Raise(ResultCode::kConnectionFailed, "cannot connect to " + entry.ToString());
+  }
+
+  const std::vector<SeenCall>& calls() const { return calls_; }
+
+ private:
+  std::map<std::uint16_t, HttpResponse> answers_;
+  std::vector<std::uint16_t> silent_;
+  std::vector<SeenCall> calls_;
+};
+
+}  // namespace bamboodock
