--- a/src/bamboodock/command/entry/operator_commands.cc
+++ b/src/bamboodock/command/entry/operator_commands.cc
@@ -7,6 +7,7 @@
 #include "bamboodock/codec/error_codec.h"
 #include "bamboodock/codec/object_set_codec.h"
 #include "bamboodock/codec/operator_codec.h"
+#include "bamboodock/codec/operator_request.h"
 #include "bamboodock/command/entry/withdraw_duty.h"
 #include "bamboodock/query/common/process_queries.h"
 
