Add the experiment program with cost against quality

Cause: the cascade policy had no measurement. Change: event loop, trace generator, fake engine, report tables and the cost experiment on both deployments.

--- /dev/null
+++ b/src/bamboodock/experiment/deployment.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/units.h"
+#include "bamboodock/policy/request_kind.h"
+
+namespace bamboodock::experiment {
+
+/// Log-normal distribution of a number of tokens.
+struct TokenDistribution {
+  double median = 0;
+  double sigma = 0;
+};
+
+/// Traffic of one kind of request.
+struct KindTraffic {
+  RequestKind kind;
+  Ratio share;
+  TokenDistribution prompt;
+  TokenDistribution completion;
+  /// Part of the prompt that requests about the same matter have in common.
+  Ratio prefix_share;
+  /// Matters open at the same time.
+  std::size_t prefixes = 1;
+  /// Difficulty between 0 and 1, beta-distributed.
+  double difficulty_alpha = 1;
+  double difficulty_beta = 1;
+  Duration deadline{};
+};
+
+/// Version of a language model as the fakes see it.
+struct VersionTraits {
+  VersionId id;
+  CostMicros cost_per_1k_prompt;
+  CostMicros cost_per_1k_completion;
+  /// Difficulty at which half of the answers are good.
+  double skill = 0;
+  Duration per_prompt_token{};
+  Duration per_completion_token{};
+};
+
+/// One of the two deployments on the design page.
+struct Deployment {
+  std::string name;
+  std::vector<AvailabilityZoneId> zones;
+  Duration between_zones{};
+  std::size_t endpoints = 12;
+  std::size_t entries = 3;
+  Ratio quality_target{0.9};
+  std::vector<KindTraffic> kinds;
+  /// Cheapest first.
+  std::vector<VersionTraits> versions;
+};
+
+Deployment Nilemark();
+Deployment Emva();
+inline std::vector<Deployment> Deployments() { return {Nilemark(), Emva()}; }
+
+}  // namespace bamboodock::experiment
--- /dev/null
+++ b/src/bamboodock/experiment/fake_engine.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <unordered_map>
+
+#include "bamboodock/core/units.h"
+#include "bamboodock/experiment/event_loop.h"
+#include "bamboodock/experiment/prefix_cache.h"
+
+namespace bamboodock::experiment {
+
+/// Constants of a fake engine.
+struct EngineTraits {
+  Duration per_prompt_token = std::chrono::microseconds(50);
+  Duration per_completion_token = std::chrono::milliseconds(15);
+  /// Added to the time of each completion token for each other running request.
+  Duration per_neighbour = std::chrono::microseconds(500);
+  Concurrency batch{32};
+  Concurrency cold_limit{2};
+  /// Factor on all times while cold.
+  int cold_slowdown = 4;
+  Duration cold_time = std::chrono::seconds(30);
+  Tokens cache_capacity{60000};
+};
+
+/// Work for an engine with its callbacks.
+struct EngineJob {
+  Tokens prompt;
+  Tokens completion;
+  std::uint64_t prefix_key = 0;
+  Tokens prefix;
+  std::function<void()> on_first_token;
+  std::function<void(bool ok)> on_end;
+};
+
+/// Engine with first-come prefill, batched decoding, a prefix cache and cold starts.
+///
+/// Prefill of one request at a time; the decoding speed is fixed when decoding begins, from the
+/// number of requests running then. A cold engine fails requests beyond its cold limit.
+class FakeEngine {
+ public:
+  FakeEngine(EventLoop& loop, const EngineTraits& traits);
+
+  void Start(EngineJob job);
+  /// Empties the cache and slows down; running requests go on.
+  void TurnCold();
+  /// Fails all running requests; the engine is cold when it serves again.
+  void Kill();
+
+  bool cold() const { return loop_.now() < cold_until_; }
+  std::uint64_t cached_tokens() const { return cached_tokens_; }
+  std::uint64_t prompt_tokens() const { return prompt_tokens_; }
+
+ private:
+  using JobId = std::uint64_t;
+
+  void FirstToken(JobId id);
+  void End(JobId id, bool ok);
+  int Slowdown() const { return cold() ? traits_.cold_slowdown : 1; }
+
+  EventLoop& loop_;
+  EngineTraits traits_;
+  PrefixCache cache_;
+  std::unordered_map<JobId, EngineJob> running_;
+  JobId next_id_ = 0;
+  MonotonicTime prefill_free_{};
+  MonotonicTime cold_until_{};
+  std::uint64_t cached_tokens_ = 0;
+  std::uint64_t prompt_tokens_ = 0;
+};
+
+}  // namespace bamboodock::experiment
