Add the service experiment

Cause: service through the loss of an availability zone was not measured. Change: scenarios with and without notice, retries and zone ramp, and a store outage, on the fake fleet.

--- a/src/bamboodock/experiment/experiments.cc
+++ b/src/bamboodock/experiment/experiments.cc
@@ -4,6 +4,8 @@
 
 #include "bamboodock/experiment/cost_experiment.h"
 #include "bamboodock/experiment/latency_experiment.h"
+#include "bamboodock/experiment/rollout_experiment.h"
+#include "bamboodock/experiment/service_experiment.h"
 
 namespace bamboodock::experiment {
 namespace {
@@ -16,6 +18,8 @@
 constexpr std::array kRows = {
     ExperimentRow{"cost", &RunCostExperiment},
     ExperimentRow{"latency", &RunLatencyExperiment},
+    ExperimentRow{"rollout", &RunRolloutExperiment},
+    ExperimentRow{"service", &RunServiceExperiment},
 };
 
 }  // namespace
--- a/src/bamboodock/experiment/fake_entry.cc
+++ b/src/bamboodock/experiment/fake_entry.cc
@@ -23,6 +23,8 @@
   FleetResult* result = nullptr;
   std::vector<bool> tried;
   StepNumber retries;
+  /// Whether a sidecar has accepted an attempt.
+  bool accepted = false;
 };
 
 struct FakeEntry::Attempt {
@@ -131,8 +133,9 @@
     ++result.answered;
     result.total.Add(ToSeconds(loop_.now() - attempt->call->request.time));
   } else if (attempt->output) {
-    ++result.interrupted;
+    ++result.lost;
   } else {
+    attempt->call->accepted = true;
     Retry(attempt->call, Duration::zero());
   }
 }
@@ -140,7 +143,7 @@
 void FakeEntry::Retry(const CallPtr& call, Duration delay) {
   const bool in_time = loop_.now() + delay < call->request.time + settings_.request_deadline;
   if (!in_time || !MayRetry()) {
-    ++call->result->refused;
+    ++(call->accepted ? call->result->lost : call->result->refused);
     return;
   }
   call->retries = call->retries.Next();
--- a/src/bamboodock/experiment/fake_fleet.cc
+++ b/src/bamboodock/experiment/fake_fleet.cc
@@ -105,7 +105,12 @@
 }
 
 void FakeFleet::Arrive(FleetResult& result, MonotonicTime end) {
-  entries_[random_.Below(entries_.size())]->Serve(next_, result);
+  if (gate_()) {
+    entries_[random_.Below(entries_.size())]->Serve(next_, result);
+  } else {
+    ++result.requests;
+    ++result.refused;
+  }
   next_ = trace_.Next();
   if (next_.time <= end) loop_.At(next_.time, [this, &result, end] { Arrive(result, end); });
 }
--- a/src/bamboodock/experiment/fake_fleet.h
+++ b/src/bamboodock/experiment/fake_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -18,6 +19,8 @@
   /// Sends the traffic up to `end`; its outcomes are added to `result`, which must outlive the
   /// fleet's last run.
   void RunUntil(MonotonicTime end, FleetResult& result);
+  /// Sets a condition asked for each request; those that do not pass are refused.
+  void SetGate(std::function<bool()> gate) { gate_ = std::move(gate); }
   /// Lets open requests end without new ones.
   void Finish();
 
@@ -45,6 +48,7 @@
   std::vector<std::unique_ptr<FakeEntry>> entries_;
   TraceGenerator trace_;
   TraceRequest next_;
+  std::function<bool()> gate_ = [] { return true; };
 };
 
 }  // namespace bamboodock::experiment
--- a/src/bamboodock/experiment/fleet_result.h
+++ b/src/bamboodock/experiment/fleet_result.h
@@ -12,10 +12,10 @@
   std::uint64_t answered = 0;
   /// Answered, but with a first token later than twice the target.
   std::uint64_t late = 0;
-  /// Refused before any output; the caller may repeat the request.
+  /// Refused, not run; the caller may repeat the request.
   std::uint64_t refused = 0;
-  /// Interrupted after output had begun.
-  std::uint64_t interrupted = 0;
+  /// Accepted by a sidecar and not answered.
+  std::uint64_t lost = 0;
   std::uint64_t attempts = 0;
   Samples first_token;
   Samples total;
@@ -25,7 +25,7 @@
     answered += other.answered;
     late += other.late;
     refused += other.refused;
-    interrupted += other.interrupted;
+    lost += other.lost;
     attempts += other.attempts;
     first_token.Add(other.first_token);
     total.Add(other.total);
--- /dev/null
+++ b/src/bamboodock/experiment/rollout_settings.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bamboodock/core/units.h"
+
+namespace bamboodock::experiment {
+
+/// Rule that watches a version.
+enum class GuardRule : std::uint8_t {
+  /// Sequential test on merged evidence.
+  kSequential,
+  /// Error rate of each step of the roll-out against a threshold.
+  kFixedThreshold,
+};
+
+/// One step of a roll-out: share of the model's requests.
+struct RolloutStep {
+  MonotonicTime start;
+  Ratio share;
+};
+
+/// Settings of one roll-out.
+struct RolloutSettings {
+  GuardRule rule = GuardRule::kSequential;
+  /// Requests per second of the model.
+  RequestRate rate{4.0};
+  std::size_t sources = 12;
+  std::size_t entries = 3;
+  std::vector<RolloutStep> steps;
+  MonotonicTime end{std::chrono::hours(8)};
+  /// Share of answers that are errors before the version turns bad.
+  Ratio normal_errors{0.01};
+  /// Share of errors from `bad_from` on.
+  Ratio bad_errors{0.01};
+  MonotonicTime bad_from = MonotonicTime::max();
+  /// Share of bad answers without an error, seen only by ratings.
+  Ratio normal_bad_answers{0.05};
+  Ratio bad_bad_answers{0.05};
+  Ratio rated{0.05};
+  Duration rating_delay = std::chrono::minutes(30);
+  Duration answer_time = std::chrono::seconds(3);
+  Duration sync_interval = std::chrono::seconds(1);
+  /// Longest time until a withdrawal published by one entry reaches the others.
+  Duration publish_time = std::chrono::seconds(3);
+};
+
+}  // namespace bamboodock::experiment
--- /dev/null
+++ b/src/bamboodock/experiment/service_experiment.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "bamboodock/experiment/report.h"
+
+namespace bamboodock::experiment {
+
+/// Service while an availability zone leaves and returns, and while the store is down.
+void RunServiceExperiment(Report& report);
+
+}  // namespace bamboodock::experiment
