--- a/src/bamboodock/policy/admission_ramp.cc
+++ b/src/bamboodock/policy/admission_ramp.cc
@@ -37,9 +37,9 @@
 }
 
 void AdmissionRamp::FallBack() {
-  // An endpoint already at its cold limit keeps the evidence that its current attempts will bring;
-  // otherwise a load report that repeats "cold" would keep the limit down for good.
-  if (limit_ > cold_) outdated_ = in_flight_;
+  // Attempts that began before say nothing about the endpoint as it is now. While load reports
+  // repeat "cold" within the length of an answer, the limit therefore stays down.
+  outdated_ = in_flight_;
   limit_ = cold_;
 }
 
--- a/src/bamboodock/policy/admission_ramp.h
+++ b/src/bamboodock/policy/admission_ramp.h
@@ -23,7 +23,7 @@
   void Finished(Duration first_token, bool ok);
   /// Gives a place back without evidence.
   void Cancelled();
-  /// Sets the limit back after a load report that says cold.
+  /// Sets the limit back; to be called for each load report that says cold.
   void TurnedCold();
 
   Concurrency limit() const { return limit_; }
