--- a/src/bamboodock/policy/claim_rule.cc
+++ b/src/bamboodock/policy/claim_rule.cc
@@ -6,7 +6,7 @@
 
 ClaimRule::ClaimRule(ClaimRow mine) : mine_(std::move(mine)) {}
 
-// Modelled in model/attempt.pml, process Sidecar, label claim.
+// Modelled in model/attempt.pml, process Sidecar, label make_claim.
 void ClaimRule::OnRow(const std::optional<ClaimRow>& row) {
   if (step_ != ClaimStep::kReadRow && step_ != ClaimStep::kReadBack) return;
   if (row && row->call != mine_.call) return Refuse(ResultCode::kKeyReused);
--- a/src/bamboodock/policy/publication_rule.cc
+++ b/src/bamboodock/policy/publication_rule.cc
@@ -57,22 +57,20 @@
   }
 }
 
-void PublicationRule::OnCommit(CommitOutcome outcome, const PublicationId& winner) {
+void PublicationRule::OnCommit(CommitOutcome outcome) {
   if (step_ != PublicationStep::kCommit) return;
-  // After a lost answer the earlier transaction may be the one that changed the head, or may still
-  // take effect, so only the row decides.
-  if (answer_lost_ && outcome != CommitOutcome::kCommitted) outcome = CommitOutcome::kAnswerLost;
   switch (outcome) {
     case CommitOutcome::kCommitted:
       accepted_ = next();
       step_ = PublicationStep::kAccepted;
       break;
-    case CommitOutcome::kConflict:
-      winner_ = winner;
-      step_ = PublicationStep::kConflict;
-      break;
     case CommitOutcome::kNotSent:
-      Fail(ResultCode::kStoreUnavailable);
+      if (!answer_lost_) return Fail(ResultCode::kStoreUnavailable);
+      step_ = PublicationStep::kReadBack;
+      break;
+    case CommitOutcome::kConflict:
+      // An earlier commit of this id, perhaps sent by a run that died, may be what moved the head.
+      step_ = PublicationStep::kReadBack;
       break;
     case CommitOutcome::kAnswerLost:
       answer_lost_ = true;
--- a/src/bamboodock/policy/publication_rule.h
+++ b/src/bamboodock/policy/publication_rule.h
@@ -26,11 +26,11 @@
   kConfirmPrepare,
   /// One transaction: head from `base()` to `next()` and insert `publications/<id>`.
   kCommit,
-  /// The commit's answer was lost: read `publications/<id>` and `head`.
+  /// The commit met a conflict or its answer was lost: read `head`, then `publications/<id>`.
   kReadBack,
   kAccepted,
   kConflict,
-  /// Not accepted, with the reason in `failure()`.
+  /// Not committed by this run, with the reason in `failure()`.
   kFailed,
   /// The store does not tell the outcome; repeating the same id is harmless.
   kUnknown,
@@ -73,8 +73,7 @@
   void OnPrepareAnswer(const HostId& witness, const IncarnationId& incarnation, bool acknowledged);
   /// All witnesses answered or timed out; fails the publication without a majority.
   void OnPrepareEnd();
-  /// @param winner The publication in `head` after a conflict.
-  void OnCommit(CommitOutcome outcome, const PublicationId& winner);
+  void OnCommit(CommitOutcome outcome);
   /// Outcome of kReadBack. The head must be read before the row: when the head has moved, a commit
   /// that has not yet arrived cannot take effect, so a row that is then absent stays absent.
   void OnReadBack(const std::optional<AcceptedPublication>& row, const AcceptedPublication& head);
