--- /dev/null
+++ b/apps/replay.cc
@@ -0,0 +1,50 @@
+#include <fstream>
+#include <iostream>
+#include <string>
+
+#include "bamboodock/replay/replayer.h"
+
+namespace {
+
+using bamboodock::Failure;
+using bamboodock::ReplayReport;
+using bamboodock::Result;
+
+Result<ReplayReport> ReplayFile(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) return bamboodock::Raise(bamboodock::ResultCode::kNotFound, "cannot be read");
+  BOOST_LEAF_AUTO(trace, bamboodock::ReadTrace(in));
+  return bamboodock::Replay(trace);
+}
+
+/// Replays one file and prints its outcome; false on a mismatch or an unreadable trace.
+bool Check(const std::string& file) {
+  return bamboodock::HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(report, ReplayFile(file));
+        for (const auto& mismatch : report.mismatches) {
+          std::cerr << file << ":" << mismatch.line << ": expected \"" << mismatch.expected
+                    << "\", got \"" << mismatch.got << "\"\n";
+        }
+        if (report.expectations == 0) std::cerr << file << ": no expectations\n";
+        std::cout << file << ": " << report.events << " events, " << report.expectations
+                  << " expectations, " << report.mismatches.size() << " mismatches\n";
+        return report.mismatches.empty() && report.expectations > 0;
+      },
+      [&](const Failure& failure) {
+        std::cerr << file << ": " << failure.detail << "\n";
+        return false;
+      });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    std::cerr << "usage: bamboodock-replay TRACE...\n";
+    return 2;
+  }
+  bool all = true;
+  for (int i = 1; i < argc; ++i) all = Check(argv[i]) && all;
+  return all ? 0 : 1;
+}
--- /dev/null
+++ b/src/bamboodock/replay/replayer.cc
@@ -0,0 +1,73 @@
+#include "bamboodock/replay/replayer.h"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "bamboodock/replay/rule_replay.h"
+
+namespace bamboodock {
+
+namespace {
+
+using Maker = std::unique_ptr<RuleReplay> (*)(const TraceFields&, std::string);
+
+const std::map<std::string, Maker>& Makers() {
+  static const std::map<std::string, Maker> makers = {
+      {"attempt", &MakeAttemptReplay}, {"billing", &MakeBillingReplay},
+      {"claim", &MakeClaimReplay},     {"freshness", &MakeFreshnessReplay},
+      {"lease", &MakeLeaseReplay},     {"publication", &MakePublicationReplay},
+      {"stream", &MakeStreamReplay},   {"witness", &MakeWitnessReplay},
+  };
+  return makers;
+}
+
+class Replayer {
+ public:
+  explicit Replayer(const Trace& trace) : trace_(trace) {}
+
+  Result<std::string> Apply(const TraceLine& line) {
+    if (line.name == "restart") {
+      std::erase_if(rules_, [&](const auto& item) { return item.first.first == line.process; });
+      return std::string("restarted");
+    }
+    const std::size_t dot = line.name.find('.');
+    const bool qualified = dot != std::string::npos;
+    const std::string rule = qualified ? line.name.substr(0, dot) : trace_.rule;
+    const std::string event = qualified ? line.name.substr(dot + 1) : line.name;
+    const auto maker = Makers().find(rule);
+    if (maker == Makers().end()) return Raise(ResultCode::kBadMessage, "unknown rule " + rule);
+    std::unique_ptr<RuleReplay>& instance = rules_[{line.process, rule}];
+    if (!instance) instance = maker->second(trace_.settings, line.process);
+    return instance->Apply(event, line);
+  }
+
+ private:
+  const Trace& trace_;
+  std::map<std::pair<std::string, std::string>, std::unique_ptr<RuleReplay>> rules_;
+};
+
+}  // namespace
+
+Result<ReplayReport> Replay(const Trace& trace) {
+  Replayer replayer(trace);
+  ReplayReport report;
+  std::string outcome;
+  for (const TraceLine& line : trace.lines) {
+    if (line.is_expectation) {
+      ++report.expectations;
+      if (line.name != outcome) report.mismatches.push_back({line.number, line.name, outcome});
+      continue;
+    }
+    ++report.events;
+    auto applied = HandleFailure([&] { return replayer.Apply(line); },
+                                 [&](const Failure& f) { return "error: " + f.detail; });
+    if (applied.starts_with("error: ")) {
+      return Raise(ResultCode::kBadMessage, "line " + std::to_string(line.number) + ": " + applied);
+    }
+    outcome = std::move(applied);
+  }
+  return report;
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/policy/attempt_registry_test.cc
@@ -0,0 +1,127 @@
+#include "bamboodock/policy/attempt_registry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "policy/at.h"
+
+namespace bamboodock {
+
+namespace {
+
+const IncarnationId kIncarnation("sc/1");
+constexpr std::chrono::seconds kMargin(30);
+
+AttemptStart Message(const std::string& attempt, std::int64_t deadline = 5000) {
+  return {AttemptId(attempt), kIncarnation, At(deadline)};
+}
+
+}  // namespace
+
+class AttemptRegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AttemptRegistryTest);
+  CPPUNIT_TEST(RefusalIsFinal);
+  CPPUNIT_TEST(DeadlineFromReceiptStartsLateCopy);
+  CPPUNIT_TEST(CopyResumesOrReplays);
+  CPPUNIT_TEST(EarlierIncarnationIsNotStarted);
+  CPPUNIT_TEST(SharedIncarnationStartsLateCopy);
+  CPPUNIT_TEST(WithdrawnAttemptStaysRefused);
+  CPPUNIT_TEST(FullRegistryStaysTruthful);
+  CPPUNIT_TEST(ExpiresInDeadlineOrder);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a run of an attempt whose caller was told "not run".
+  void RefusalIsFinal() {
+    AttemptRegistry registry(kIncarnation, 4, kMargin);
+    const auto refused = registry.Refuse(Message("a"), ResultCode::kEndpointAtLimit, At(0));
+    CPPUNIT_ASSERT(refused.verdict == AttemptVerdict::kRefused);
+    CPPUNIT_ASSERT(refused.run == RunState::kNotRun);
+    const auto copy = registry.Start(Message("a"), At(100));
+    CPPUNIT_ASSERT(copy.verdict == AttemptVerdict::kLateCopy);
+    CPPUNIT_ASSERT(copy.code == ResultCode::kEndpointAtLimit);
+    registry.Expire(At(60000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.size());
+    const auto late = registry.Start(Message("a"), At(60000));
+    CPPUNIT_ASSERT(late.verdict == AttemptVerdict::kPastDeadline);
+    CPPUNIT_ASSERT(late.run == RunState::kUnknown);
+    const auto fresh = registry.Start(Message("b", 59000), At(60000));
+    CPPUNIT_ASSERT(fresh.run == RunState::kNotRun);
+  }
+
+  // Shows the failure of RefusalIsFinal when the deadline is computed from the time of receipt.
+  void DeadlineFromReceiptStartsLateCopy() {
+    AttemptRegistry registry(kIncarnation, 4, kMargin);
+    registry.Refuse(Message("a"), ResultCode::kEndpointAtLimit, At(0));
+    registry.Expire(At(60000));
+    const auto copy = registry.Start(Message("a", 60000 + 5000), At(60000));
+    CPPUNIT_ASSERT(copy.verdict == AttemptVerdict::kStart);
+  }
+
+  // Guards against a second run when an entry sends a start again after silence.
+  void CopyResumesOrReplays() {
+    AttemptRegistry registry(kIncarnation, 4, kMargin);
+    CPPUNIT_ASSERT(registry.Start(Message("a"), At(0)).verdict == AttemptVerdict::kStart);
+    const auto copy = registry.Start(Message("a"), At(10));
+    CPPUNIT_ASSERT(copy.verdict == AttemptVerdict::kAlreadyRunning);
+    const auto refusal = registry.Refuse(Message("a"), ResultCode::kStopping, At(10));
+    CPPUNIT_ASSERT(refusal.verdict == AttemptVerdict::kAlreadyRunning);
+    CPPUNIT_ASSERT(registry.Finish(AttemptId("a")));
+    CPPUNIT_ASSERT(registry.Start(Message("a"), At(20)).verdict == AttemptVerdict::kFinished);
+    CPPUNIT_ASSERT(registry.Look(AttemptId("a")).run == RunState::kRan);
+  }
+
+  // Guards against a run, or a "not run", for an attempt that an earlier run may have started.
+  void EarlierIncarnationIsNotStarted() {
+    AttemptRegistry registry(IncarnationId("sc/2"), 4, kMargin);
+    const auto copy = registry.Start(Message("a"), At(0));
+    CPPUNIT_ASSERT(copy.verdict == AttemptVerdict::kEarlierIncarnation);
+    CPPUNIT_ASSERT(copy.run == RunState::kUnknown);
+    CPPUNIT_ASSERT(registry.Look(AttemptId("a")).run == RunState::kUnknown);
+  }
+
+  // Shows the failure of the test above when a restart keeps the incarnation.
+  void SharedIncarnationStartsLateCopy() {
+    AttemptRegistry before(kIncarnation, 4, kMargin);
+    before.Refuse(Message("a"), ResultCode::kEndpointAtLimit, At(0));
+    AttemptRegistry after(kIncarnation, 4, kMargin);
+    CPPUNIT_ASSERT(after.Start(Message("a"), At(10)).verdict == AttemptVerdict::kStart);
+  }
+
+  // Guards against a run after a claim failed and the attempt was refused.
+  void WithdrawnAttemptStaysRefused() {
+    AttemptRegistry registry(kIncarnation, 4, kMargin);
+    registry.Start(Message("a"), At(0));
+    CPPUNIT_ASSERT(registry.Withdraw(AttemptId("a"), ResultCode::kClaimUnavailable));
+    CPPUNIT_ASSERT(!registry.Withdraw(AttemptId("a"), ResultCode::kClaimUnavailable));
+    CPPUNIT_ASSERT(!registry.Finish(AttemptId("a")));
+    CPPUNIT_ASSERT(registry.Start(Message("a"), At(5)).verdict == AttemptVerdict::kLateCopy);
+  }
+
+  // Guards against unbounded memory, and against a "not run" that cannot be remembered.
+  void FullRegistryStaysTruthful() {
+    AttemptRegistry registry(kIncarnation, 1, kMargin);
+    registry.Start(Message("a"), At(0));
+    const auto second = registry.Start(Message("b"), At(0));
+    CPPUNIT_ASSERT(second.verdict == AttemptVerdict::kRefused);
+    CPPUNIT_ASSERT(second.run == RunState::kNotRun);
+    CPPUNIT_ASSERT(registry.Start(Message("c"), At(0)).run == RunState::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, registry.size());
+  }
+
+  // Guards against records that are forgotten before their deadline plus the margin.
+  void ExpiresInDeadlineOrder() {
+    AttemptRegistry registry(kIncarnation, 4, kMargin);
+    registry.Start(Message("late", 20000), At(0));
+    registry.Start(Message("early", 5000), At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.Expire(At(34999)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Expire(At(35000)));
+    CPPUNIT_ASSERT(registry.Look(AttemptId("late")).verdict == AttemptVerdict::kAlreadyRunning);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.started());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptRegistryTest);
+
+}  // namespace bamboodock
