Read the head before the publication row after a lost answer

Cause: the model found that a publisher which reads its row first and the head second can report a conflict although its delayed commit took effect between the two reads. The entry read them in that order. Change: the head is read first; a conflict is always settled by reading back. Conclusion: 'not accepted' is said only when it is final.

--- a/src/bamboodock/command/entry/operator_commands.cc
+++ b/src/bamboodock/command/entry/entry_commands.cc
@@ -1,4 +1,4 @@
-#include "bamboodock/command/entry/operator_commands.h"
+#include "bamboodock/command/entry/entry_commands.h"
 
 #include <algorithm>
 #include <array>
@@ -19,16 +19,16 @@
 
 }  // namespace
 
-HttpResponse OperatorCommands::Answer(const HttpRequest& request) {
+HttpResponse EntryCommands::Answer(const HttpRequest& request) {
   struct Route {
     std::string_view path;
-    Result<HttpResponse> (OperatorCommands::*method)(const HttpRequest&);
+    Result<HttpResponse> (EntryCommands::*method)(const HttpRequest&);
   };
   static constexpr std::array kRoutes{
-      Route{"/commands/publish", &OperatorCommands::Publish},
-      Route{"/commands/drain", &OperatorCommands::Drain},
-      Route{"/commands/restore", &OperatorCommands::Restore},
-      Route{"/commands/withdraw", &OperatorCommands::Withdraw},
+      Route{"/commands/publish", &EntryCommands::Publish},
+      Route{"/commands/drain", &EntryCommands::Drain},
+      Route{"/commands/restore", &EntryCommands::Restore},
+      Route{"/commands/withdraw", &EntryCommands::Withdraw},
   };
   return HandleFailure(
       [&]() -> Result<HttpResponse> {
@@ -42,7 +42,7 @@
       [](const Failure& failure) { return FailureResponse(failure); });
 }
 
-Result<HttpResponse> OperatorCommands::Publish(const HttpRequest& request) {
+Result<HttpResponse> EntryCommands::Publish(const HttpRequest& request) {
   BOOST_LEAF_AUTO(publish, DecodePublishRequest(request.body));
   DecodedObjectSet decoded = DecodeObjectSet(publish.set);
   if (!decoded.set) return JsonResponse(422, EncodeSetErrors(decoded.errors));
@@ -50,15 +50,15 @@
   return Report(publish.publication, std::move(outcome));
 }
 
-Result<HttpResponse> OperatorCommands::Drain(const HttpRequest& request) {
+Result<HttpResponse> EntryCommands::Drain(const HttpRequest& request) {
   return SetDrained(request, true);
 }
 
-Result<HttpResponse> OperatorCommands::Restore(const HttpRequest& request) {
+Result<HttpResponse> EntryCommands::Restore(const HttpRequest& request) {
   return SetDrained(request, false);
 }
 
-Result<HttpResponse> OperatorCommands::SetDrained(const HttpRequest& request, bool drained) {
+Result<HttpResponse> EntryCommands::SetDrained(const HttpRequest& request, bool drained) {
   BOOST_LEAF_AUTO(zone, DecodeZoneRequest(request.body));
   const SetEdit edit = [&](const ObjectSet* current) -> Result<Ref<const ObjectSet>> {
     if (current == nullptr || current->Find(zone.availability_zone) == nullptr) {
@@ -71,15 +71,14 @@
   return Report(zone.publication, std::move(outcome));
 }
 
-Result<HttpResponse> OperatorCommands::Withdraw(const HttpRequest& request) {
+Result<HttpResponse> EntryCommands::Withdraw(const HttpRequest& request) {
   BOOST_LEAF_AUTO(withdraw, DecodeWithdrawRequest(request.body));
   const SetEdit edit = StageEdit(withdraw.model, withdraw.version, withdraw.stage);
   BOOST_LEAF_AUTO(outcome, publisher_.Edit(withdraw.publication, edit));
   return Report(withdraw.publication, std::move(outcome));
 }
 
-HttpResponse OperatorCommands::Report(const PublicationId& publication,
-                                      PublishOutcome outcome) const {
+HttpResponse EntryCommands::Report(const PublicationId& publication, PublishOutcome outcome) const {
   using Json = nlohmann::json;
   if (!outcome.errors.empty()) return JsonResponse(422, EncodeSetErrors(outcome.errors));
   if (!outcome.winner.empty()) {
@@ -100,7 +99,7 @@
                                .dump());
 }
 
-void OperatorCommands::AddSidecars(PublishOutcome& outcome) const {
+void EntryCommands::AddSidecars(PublishOutcome& outcome) const {
   const auto reached = [&](const EndpointReport& endpoint) {
     return !endpoint.heard || endpoint.report.epoch >= outcome.epoch;
   };
--- a/src/bamboodock/command/entry/operator_commands.h
+++ b/src/bamboodock/command/entry/entry_commands.h
@@ -7,9 +7,9 @@
 namespace bamboodock {
 
 /// HTTP commands of operators: `POST /commands/<name>`.
-class OperatorCommands {
+class EntryCommands {
  public:
-  OperatorCommands(Publisher& publisher, const RouteDuty& routes)
+  EntryCommands(Publisher& publisher, const RouteDuty& routes)
       : publisher_(publisher), routes_(routes) {}
 
   /// Carries out a command, or answers 404 when no route has the path.
--- a/src/bamboodock/command/entry/entry_handlers.h
+++ b/src/bamboodock/command/entry/entry_handlers.h
@@ -4,7 +4,7 @@
 
 #include "bamboodock/command/entry/call_command.h"
 #include "bamboodock/command/entry/chat_command.h"
-#include "bamboodock/command/entry/operator_commands.h"
+#include "bamboodock/command/entry/entry_commands.h"
 #include "bamboodock/query/entry/entry_queries.h"
 #include "bamboodock/query/entry/reattach_query.h"
 #include "bamboodock/transport/http_server.h"
@@ -34,13 +34,13 @@
 /// HTTP routes of the operator port: commands and queries under prefixes of their own.
 class OperatorHandler final : public HttpHandler {
  public:
-  OperatorHandler(OperatorCommands& commands, const EntryQueries& queries)
+  OperatorHandler(EntryCommands& commands, const EntryQueries& queries)
       : commands_(commands), queries_(queries) {}
 
   void Handle(const HttpRequest& request, ResponseWriter& writer) override;
 
  private:
-  OperatorCommands& commands_;
+  EntryCommands& commands_;
   const EntryQueries& queries_;
 };
 
--- a/src/bamboodock/command/entry/entry_process.cc
+++ b/src/bamboodock/command/entry/entry_process.cc
@@ -121,7 +121,7 @@
   AttemptClient attempts;
   RequestContext context;
   EntryQueries queries;
-  OperatorCommands commands;
+  EntryCommands commands;
   RpcDispatcher dispatcher;
   EntryRpc rpc_methods;
   CallerHandler caller_handler;
--- a/src/bamboodock/command/entry/publisher.cc
+++ b/src/bamboodock/command/entry/publisher.cc
@@ -209,7 +209,6 @@
   TableTransaction transaction;
   transaction.conditions = {{kHeadKey, attempt.head_version}, {publication_key, RowVersion(0)}};
   transaction.puts = {{kHeadKey, EncodeRow(head)}, {publication_key, EncodeRow(head)}};
-  PublicationId winner;
   const CommitOutcome outcome = HandleFailure(
       [&]() -> Result<CommitOutcome> {
         BOOST_LEAF_CHECK(parts_.table_commands.Commit(transaction));
@@ -220,25 +219,15 @@
         if (failure.code == ResultCode::kStoreUnavailable) return CommitOutcome::kNotSent;
         return CommitOutcome::kAnswerLost;
       });
-  if (outcome == CommitOutcome::kConflict) {
-    HandleFailure(
-        [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(row, parts_.table_queries.Read(kHeadKey));
-          if (!row) return false;
-          BOOST_LEAF_AUTO(now, DecodeHeadRow(row->value));
-          winner = now.publication;
-          return true;
-        },
-        [](const Failure& /*failure*/) { return false; });
-  }
-  attempt.rule.OnCommit(outcome, winner);
+  attempt.rule.OnCommit(outcome);
 }
 
 void Publisher::ReadBack(Attempt& attempt) {
   HandleFailure(
       [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(row, parts_.table_queries.Read(PublicationKey(attempt.rule.id())));
+        // The rule requires this order: see PublicationRule::OnReadBack.
         BOOST_LEAF_AUTO(head_row, parts_.table_queries.Read(kHeadKey));
+        BOOST_LEAF_AUTO(row, parts_.table_queries.Read(PublicationKey(attempt.rule.id())));
         std::optional<AcceptedPublication> accepted;
         HeadRow head;
         if (row) {
