Hold a lease for each engine and fence its orders

Cause: a paused sidecar could give an engine orders after its replacement. Conclusion: engines that check the number are safe; the others keep a window.

--- /dev/null
+++ b/apps/load.cc
@@ -0,0 +1,43 @@
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+#include "bamboodock/command/process/address_list.h"
+#include "bamboodock/config/settings.h"
+#include "bamboodock/load/load_run.h"
+
+DEFINE_string(target, "", "IP:PORT of an entry's caller port or of an engine");
+DEFINE_string(name, "run", "name of the run in the table");
+DEFINE_string(api_key, "", "API key of a client account");
+DEFINE_string(model, "", "model to ask for");
+DEFINE_uint32(streams, 32, "streams open at the same time");
+DEFINE_uint32(rounds, 4, "streams that each client opens in turn");
+DEFINE_uint32(tokens, 32, "tokens of an answer");
+
+namespace bamboodock {
+namespace {
+
+int RunLoadProgram() {
+  return HandleFailure(
+      []() -> Result<int> {
+        load::StreamSettings settings;
+        BOOST_LEAF_ASSIGN(settings.target, ReadAddress("target", FLAGS_target));
+        if (FLAGS_model.empty()) return Raise(ResultCode::kBadSetting, "--model is missing");
+        settings.api_key = FLAGS_api_key;
+        settings.model = FLAGS_model;
+        settings.tokens = FLAGS_tokens;
+        const load::LoadReport report = load::RunLoad(settings, FLAGS_streams, FLAGS_rounds);
+        std::cout << load::Describe(FLAGS_name, FLAGS_streams, report) << '\n';
+        return report.complete() == report.samples.size() ? 0 : 1;
+      },
+      [](const Failure& failure) { return ReportWrongSetting(failure.detail); });
+}
+
+}  // namespace
+}  // namespace bamboodock
+
+int main(int argc, char** argv) {
+  const auto exit_code = bamboodock::ParseSettings(
+      &argc, &argv, "Opens chat streams and prints one table line of their times.");
+  return exit_code ? *exit_code : bamboodock::RunLoadProgram();
+}
--- a/src/bamboodock/codec/row_codec.cc
+++ b/src/bamboodock/codec/row_codec.cc
@@ -62,6 +62,12 @@
       .dump();
 }
 
+std::string EncodeRow(const LeaseRow& row, std::uint64_t renewal) {
+  return Json{
+      {"holder", row.holder.value()}, {"fencing", row.fencing.value()}, {"renewal", renewal}}
+      .dump();
+}
+
 Result<HeadRow> DecodeHeadRow(const std::string& text) {
   return Decode<HeadRow>(text, [](const Json& json, HeadRow& row) {
     row.epoch = Epoch(json.at("epoch"));
@@ -95,4 +101,11 @@
   });
 }
 
+Result<LeaseRow> DecodeLeaseRow(const std::string& text) {
+  return Decode<LeaseRow>(text, [](const Json& json, LeaseRow& row) {
+    row.holder = IncarnationId(json.at("holder"));
+    row.fencing = FencingNumber(json.at("fencing"));
+  });
+}
+
 }  // namespace bamboodock
--- a/src/bamboodock/codec/row_codec.h
+++ b/src/bamboodock/codec/row_codec.h
@@ -6,6 +6,7 @@
 #include "bamboodock/core/result.h"
 #include "bamboodock/policy/billing_record.h"
 #include "bamboodock/policy/claim_rule.h"
+#include "bamboodock/policy/lease_rule.h"
 
 namespace bamboodock {
 
@@ -26,10 +27,13 @@
 std::string EncodeRow(const HeadRow& row);
 std::string EncodeRow(const BillingRecord& row);
 std::string EncodeRow(const ClaimRow& row);
+/// @param renewal Rises with each renewal, so that the row changes although its holder does not.
+std::string EncodeRow(const LeaseRow& row, std::uint64_t renewal);
 
 /// Decoders fail with `kBadMessage`.
 Result<HeadRow> DecodeHeadRow(const std::string& text);
 Result<BillingRecord> DecodeBillingRow(const std::string& text);
 Result<ClaimRow> DecodeClaimRow(const std::string& text);
+Result<LeaseRow> DecodeLeaseRow(const std::string& text);
 
 }  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/sidecar/lease_duty.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <optional>
+#include <set>
+
+#include "bamboodock/command/config/config_duty.h"
+#include "bamboodock/command/sidecar/endpoint_watch_duty.h"
+#include "bamboodock/core/duty.h"
+#include "bamboodock/observe/timeline.h"
+#include "bamboodock/platform/table.h"
+#include "bamboodock/policy/lease_rule.h"
+#include "bamboodock/transport/http_client.h"
+
+namespace bamboodock {
+
+/// Holds the lease of the endpoint and gives the engine its orders.
+///
+/// An order is judged by the lease rule at the last moment before it is sent. An engine that
+/// checks fencing numbers refuses what a paused holder sends all the same; for one that does not,
+/// the time between the judgement and the engine's receipt remains.
+class LeaseDuty : public Duty<LeaseDuty, NoCommand> {
+ public:
+  struct Parts {
+    EndpointId endpoint;
+    IncarnationId incarnation;
+    Address upstream;
+    TableCommands& commands;
+    TableQueries& queries;
+    const ConfigDuty& config;
+    TimelineDuty& timeline;
+  };
+
+  explicit LeaseDuty(Parts parts);
+  ~LeaseDuty() { Stop(); }
+
+  void Handle(NoCommand& /*command*/) {}
+  MonotonicTime Tick();
+
+ private:
+  /// Versions that the configuration wants loaded, under the epoch of the decision.
+  struct Wanted {
+    Epoch epoch;
+    std::set<VersionId> versions;
+  };
+
+  std::optional<Wanted> WantedVersions() const;
+  Result<bool> Renew();
+  void GiveOrders(const Wanted& wanted);
+  bool GiveOrder(const VersionId& version, Epoch decided);
+
+  Parts parts_;
+  HttpClient engine_;
+  LeaseRule rule_;
+  RowVersion row_version_;
+  std::uint64_t renewal_ = 0;
+  bool held_ = false;
+  std::set<VersionId> ordered_;
+};
+
+}  // namespace bamboodock
--- a/src/bamboodock/command/sidecar/runner_pool.cc
+++ b/src/bamboodock/command/sidecar/runner_pool.cc
@@ -57,8 +57,8 @@
   if (answer.ok) {
     EndMessage end{answer.chunks, answer.prompt,     answer.completion,
                    cost,          answer.confidence, parts_.timeline.clock().Tick()};
-    work.log->Finish(EncodeMessage(SidecarMessage(end)));
     parts_.timeline.Record(Event::kAttemptFinished, start.request, start.attempt.value());
+    work.log->Finish(EncodeMessage(SidecarMessage(end)));
   } else {
     work.log->Finish(EncodeMessage(SidecarMessage(RefusedMessage{answer.failure, Epoch()})));
     parts_.timeline.Record(Event::kAttemptFailed, start.request, answer.failure.detail);
--- a/src/bamboodock/command/sidecar/sidecar_process.cc
+++ b/src/bamboodock/command/sidecar/sidecar_process.cc
@@ -8,6 +8,7 @@
 #include "bamboodock/command/sidecar/attempt_session.h"
 #include "bamboodock/command/sidecar/claim_duty.h"
 #include "bamboodock/command/sidecar/endpoint_watch_duty.h"
+#include "bamboodock/command/sidecar/lease_duty.h"
 #include "bamboodock/command/sidecar/runner_pool.h"
 #include "bamboodock/command/sidecar/sidecar_rpc.h"
 #include "bamboodock/command/sidecar/sync_duty.h"
@@ -51,6 +52,7 @@
         claims({incarnation, table, table, timeline, runners}),
         admission({settings.endpoint, incarnation, config, ledger, timeline, runners, claims}),
         watch(settings.upstream, admission),
+        lease({settings.endpoint, incarnation, settings.upstream, table, table, config, timeline}),
         commands(config, ledger),
         queries(process, config, admission, timeline),
         handler(rpc, queries),
@@ -72,6 +74,7 @@
     claims.Start();
     runners.Start();
     watch.Start();
+    lease.Start();
     for (auto& sync : syncs) sync->Start();
   }
 
@@ -85,6 +88,7 @@
   ClaimDuty claims;
   AdmissionDuty admission;
   EndpointWatchDuty watch;
+  LeaseDuty lease;
   std::vector<std::unique_ptr<SyncDuty>> syncs;
   RpcDispatcher rpc;
   SidecarRpc commands;
@@ -129,6 +133,7 @@
       std::string("idle=") + (idle ? "yes" : "no") + " settled=" + (settled ? "yes" : "no"));
   for (auto& sync : parts.syncs) sync->Stop();
   parts.watch.Stop();
+  parts.lease.Stop();
   parts.server->Stop();
   parts.claims.Stop();
   parts.runners.Stop();
