--- a/src/bamboodock/codec/control_message.cc
+++ b/src/bamboodock/codec/control_message.cc
@@ -9,8 +9,12 @@
 
 Json ToJson(const VersionCounters& v) {
   const EvidenceCounters& c = v.counters;
-  return {{"model", v.model.value()}, {"version", v.version.value()}, {"answers", c.answers},
-          {"errors", c.errors},       {"slow", c.slow},               {"ratings", c.ratings},
+  return {{"model", v.model.value()},
+          {"version", v.version.value()},
+          {"answers", c.answers},
+          {"errors", c.errors},
+          {"slow", c.slow},
+          {"ratings", c.ratings},
           {"bad_ratings", c.bad_ratings}};
 }
 
--- a/src/bamboodock/command/sidecar/sidecar_process.cc
+++ b/src/bamboodock/command/sidecar/sidecar_process.cc
@@ -110,9 +110,9 @@
                                       .Handler(parts.handler)
                                       .Messages(kAttemptPath, parts.sessions)
                                       .Build());
-  parts.timeline.Record(Event::kStarted, RequestId(),
-                        "listen=" + settings.listen.ToString() + " incarnation=" +
-                            incarnation.value());
+  parts.timeline.Record(
+      Event::kStarted, RequestId(),
+      "listen=" + settings.listen.ToString() + " incarnation=" + incarnation.value());
   return process;
 }
 
@@ -124,9 +124,9 @@
   for (auto& sync : parts.syncs) sync->Post(SyncNowCommand{});
   const bool idle = parts.admission.WaitIdle(deadline);
   const bool settled = parts.ledger.WaitSettled(deadline);
-  parts.timeline.Record(Event::kStopped, RequestId(),
-                        std::string("idle=") + (idle ? "yes" : "no") +
-                            " settled=" + (settled ? "yes" : "no"));
+  parts.timeline.Record(
+      Event::kStopped, RequestId(),
+      std::string("idle=") + (idle ? "yes" : "no") + " settled=" + (settled ? "yes" : "no"));
   for (auto& sync : parts.syncs) sync->Stop();
   parts.watch.Stop();
   parts.server->Stop();
--- a/src/bamboodock/platform/internal/store_call.cc
+++ b/src/bamboodock/platform/internal/store_call.cc
@@ -3,9 +3,14 @@
 namespace bamboodock::internal {
 namespace {
 
-boost::leaf::error_id Unavailable(const HttpResponse& response) {
-  return Raise(ResultCode::kStoreUnavailable,
-               "the platform answered with status " + std::to_string(response.status));
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+Failure Unavailable(const HttpResponse& response) {
+  return {ResultCode::kStoreUnavailable,
+          "the platform answered with status " + std::to_string(response.status),
+          RunState::kNotRun,
+          {}};
 }
 
 }  // namespace
@@ -14,36 +19,36 @@
   HttpRequest request;
   request.path = path;
   request.query = query;
-  return boost::leaf::try_handle_some(
-      [&]() -> Result<HttpResponse> {
-        BOOST_LEAF_AUTO(response, http_.Call(request, timeout_));
-        if (response.status >= 500) return Unavailable(response);
-        return response;
-      },
-      [](const Failure& failure) -> Result<HttpResponse> {
-        return Raise(ResultCode::kStoreUnavailable, failure.detail);
-      });
+  HttpResponse response;
+  const Failure failure = Exchange(request, response);
+  if (failure.code != ResultCode::kOk) {
+    return Raise(ResultCode::kStoreUnavailable, failure.detail);
+  }
+  if (response.status >= kServerError) return Raise(Unavailable(response));
+  return response;
 }
 
 Result<HttpResponse> StoreCall::Write(HttpRequest request) const {
   request.headers.push_back({"Content-Type", "application/json"});
-  return boost::leaf::try_handle_some(
-      [&]() -> Result<HttpResponse> {
-        BOOST_LEAF_AUTO(response, http_.Call(request, timeout_));
-        if (response.status == 503) return Unavailable(response);
-        if (response.status >= 500) {
-          return Raise(ResultCode::kStoreAnswerLost,
-                       "the platform answered with status " + std::to_string(response.status),
-                       RunState::kUnknown);
-        }
-        return response;
+  HttpResponse response;
+  Failure failure = Exchange(request, response);
+  if (failure.code == ResultCode::kOk) {
+    if (response.status < kServerError) return response;
+    failure = Unavailable(response);
+    if (response.status != kUnavailable) failure.run = RunState::kUnknown;
+  }
+  failure.code = failure.run == RunState::kNotRun ? ResultCode::kStoreUnavailable
+                                                  : ResultCode::kStoreAnswerLost;
+  return Raise(std::move(failure));
+}
+
+Failure StoreCall::Exchange(const HttpRequest& request, HttpResponse& response) const {
+  return HandleFailure(
+      [&]() -> Result<Failure> {
+        BOOST_LEAF_ASSIGN(response, http_.Call(request, timeout_));
+        return Failure{ResultCode::kOk, {}, RunState::kRan, {}};
       },
-      [](const Failure& failure) -> Result<HttpResponse> {
-        if (failure.run == RunState::kNotRun) {
-          return Raise(ResultCode::kStoreUnavailable, failure.detail);
-        }
-        return Raise(ResultCode::kStoreAnswerLost, failure.detail, RunState::kUnknown);
-      });
+      [](const Failure& failure) { return failure; });
 }
 
 Result<std::string> StoreCall::Encode(const nlohmann::json& document) {
--- a/src/bamboodock/platform/internal/store_call.h
+++ b/src/bamboodock/platform/internal/store_call.h
@@ -27,6 +27,9 @@
   static nlohmann::json Parse(const HttpResponse& response);
 
  private:
+  /// Result code `kOk` once `response` is whole.
+  Failure Exchange(const HttpRequest& request, HttpResponse& response) const;
+
   HttpClient http_;
   Duration timeout_;
 };
--- a/src/bamboodock/query/sidecar/sidecar_queries.h
+++ b/src/bamboodock/query/sidecar/sidecar_queries.h
@@ -14,10 +14,7 @@
  public:
   SidecarQueries(std::string process, const ConfigDuty& config, const AdmissionDuty& admission,
                  const TimelineDuty& timeline)
-      : process_(std::move(process)),
-        config_(config),
-        admission_(admission),
-        timeline_(timeline) {}
+      : process_(std::move(process)), config_(config), admission_(admission), timeline_(timeline) {}
 
   /// Answers a query, or 404 when no route has the path.
   HttpResponse Answer(const HttpRequest& request) const;
--- a/src/bamboodock/standin/chat_request.cc
+++ b/src/bamboodock/standin/chat_request.cc
@@ -30,11 +30,12 @@
       request.prompt += message.value("role", "user") + ":" + Content(message) + "\n";
       ends.push_back(request.prompt.size());
     }
+    const std::string_view prompt = request.prompt;
     for (const std::size_t end : ends) {
-      const std::string_view prefix = std::string_view(request.prompt).substr(0, end);
+      const std::string_view prefix = prompt.substr(0, end);
       request.prefixes.push_back(
           {PrefixHash(std::hash<std::string_view>{}(prefix)),
-           Ratio(static_cast<double>(end) / static_cast<double>(request.prompt.size()))});
+           Ratio(static_cast<double>(end) / static_cast<double>(prompt.size()))});
     }
     request.max_tokens =
         std::min(kMaxTokens, Tokens(body.value("max_tokens", request.max_tokens.value())));
--- a/src/bamboodock/standin/service_call.h
+++ b/src/bamboodock/standin/service_call.h
@@ -29,7 +29,7 @@
   if (fault.mode != FaultMode::kCut) return SendJson(writer, 200, body);
   const std::string text = body.dump();
   if (writer.Begin(200, {{"Content-Type", "application/json"}})) {
-    writer.Write(std::string_view(text).substr(0, text.size() / 2));
+    writer.Write(text.substr(0, text.size() / 2));
   }
   writer.Close();
 }
--- /dev/null
+++ b/test/fakes/fake_object_store.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "bamboodock/platform/object_store.h"
+
+namespace bamboodock {
+
+/// Object store in memory, whose faults a test sets.
+class FakeObjectStore final : public ObjectCommands, public ObjectQueries {
+ public:
+  /// Makes every call fail while set.
+  void SetDown(bool down) { down_ = down; }
+  /// Applies the next put, but loses its answer.
+  void LoseNextAnswer() { lose_answer_ = true; }
+
+  Result<void> Put(const ObjectHash& hash, const std::string& bytes) override {
+    const std::lock_guard lock(mutex_);
+    if (down_) return Raise(ResultCode::kStoreUnavailable, "injected outage");
+    objects_[hash] = bytes;
+    if (lose_answer_.exchange(false)) {
+      return Raise(ResultCode::kStoreAnswerLost, "injected loss", RunState::kUnknown);
+    }
+    return {};
+  }
+
+  Result<std::string> Load(const ObjectHash& hash) override {
+    const std::lock_guard lock(mutex_);
+    if (down_) return Raise(ResultCode::kStoreUnavailable, "injected outage");
+    const auto object = objects_.find(hash);
+    if (object == objects_.end()) return Raise(ResultCode::kNotFound, "object " + hash.value());
+    return object->second;
+  }
+
+  std::size_t size() const {
+    const std::lock_guard lock(mutex_);
+    return objects_.size();
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<ObjectHash, std::string> objects_;
+  std::atomic<bool> down_{false};
+  std::atomic<bool> lose_answer_{false};
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/fakes/fake_table.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "bamboodock/platform/table.h"
+
+namespace bamboodock {
+
+/// Table service in memory, whose faults a test sets.
+class FakeTable final : public TableCommands, public TableQueries {
+ public:
+  /// What happens to a commit.
+  enum class CommitFault : std::uint8_t {
+    kNone,
+    /// Refused; not applied.
+    kDown,
+    /// Applied, but the answer is lost.
+    kAnswerLost,
+    /// Not applied, and the answer is lost.
+    kRequestLost,
+    /// Refused as if another writer had been first.
+    kConflict,
+  };
+
+  /// Makes every commit and read fail while set.
+  void SetDown(bool down) { down_ = down; }
+  /// Adds the fault of one coming commit; commits use them in order.
+  void FailNext(CommitFault fault) {
+    const std::lock_guard lock(mutex_);
+    faults_.push_back(fault);
+  }
+
+  Result<RowVersion> Commit(const TableTransaction& transaction) override {
+    const std::lock_guard lock(mutex_);
+    ++commits_;
+    if (down_) return Down();
+    switch (TakeFault()) {
+      case CommitFault::kDown:
+        return Down();
+      case CommitFault::kRequestLost:
+        return AnswerLost();
+      case CommitFault::kConflict:
+        return Raise(ResultCode::kStoreConflict, "injected");
+      case CommitFault::kAnswerLost:
+        if (ConflictingKey(transaction).empty()) Apply(transaction);
+        return AnswerLost();
+      case CommitFault::kNone:
+        break;
+    }
+    const std::string conflict = ConflictingKey(transaction);
+    if (!conflict.empty()) return Raise(ResultCode::kStoreConflict, conflict);
+    return Apply(transaction);
+  }
+
+  Result<std::optional<TableRow>> Read(const std::string& key) override {
+    const std::lock_guard lock(mutex_);
+    ++reads_;
+    if (down_) return Down();
+    const auto row = rows_.find(key);
+    if (row == rows_.end()) return std::optional<TableRow>();
+    return std::optional<TableRow>(row->second);
+  }
+
+  Result<std::vector<TableRow>> Scan(const std::string& prefix, std::size_t limit) override {
+    const std::lock_guard lock(mutex_);
+    ++reads_;
+    if (down_) return Down();
+    std::vector<TableRow> found;
+    for (auto row = rows_.lower_bound(prefix); row != rows_.end(); ++row) {
+      if (found.size() >= limit || !row->first.starts_with(prefix)) break;
+      found.push_back(row->second);
+    }
+    return found;
+  }
+
+  /// Writes a row as another writer would, under no fault.
+  RowVersion Write(const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    return Apply({{}, {{key, value}}, {}});
+  }
+
+  /// Commits tried, whatever became of them.
+  std::uint64_t commits() const { return commits_; }
+  std::uint64_t reads() const { return reads_; }
+
+ private:
+  static boost::leaf::error_id Down() {
+    return Raise(ResultCode::kStoreUnavailable, "injected outage");
+  }
+  static boost::leaf::error_id AnswerLost() {
+    return Raise(ResultCode::kStoreAnswerLost, "injected loss", RunState::kUnknown);
+  }
+
+  CommitFault TakeFault() {
+    if (faults_.empty()) return CommitFault::kNone;
+    const CommitFault fault = faults_.front();
+    faults_.pop_front();
+    return fault;
+  }
+
+  std::string ConflictingKey(const TableTransaction& transaction) const {
+    for (const RowCondition& condition : transaction.conditions) {
+      const auto row = rows_.find(condition.key);
+      const RowVersion version = row == rows_.end() ? RowVersion() : row->second.version;
+      if (version != condition.version) return condition.key;
+    }
+    return {};
+  }
+
+  RowVersion Apply(const TableTransaction& transaction) {
+    last_version_ = last_version_.Next();
+    for (const std::string& key : transaction.deletes) rows_.erase(key);
+    for (const RowPut& put : transaction.puts) {
+      rows_[put.key] = TableRow{put.key, put.value, last_version_};
+    }
+    return last_version_;
+  }
+
+  std::mutex mutex_;
+  std::map<std::string, TableRow> rows_;
+  RowVersion last_version_;
+  std::deque<CommitFault> faults_;
+  std::atomic<bool> down_{false};
+  std::atomic<std::uint64_t> commits_{0};
+  std::atomic<std::uint64_t> reads_{0};
+};
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/fakes/standin_server.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "bamboodock/standin/roles.h"
+#include "bamboodock/transport/http_client.h"
+
+namespace bamboodock {
+
+/// Stand-in role behind a server of this process, on the first free port of a range.
+class StandinServer {
+ public:
+  explicit StandinServer(std::unique_ptr<standin::Role> role) : role_(std::move(role)) {
+    constexpr std::uint16_t kFirstPort = 24100;
+    constexpr std::uint16_t kPorts = 200;
+    constexpr Concurrency kThreads{24};
+    static std::uint16_t offset = 0;
+    for (int i = 0; i < kPorts && !server_; ++i) {
+      address_ = {"127.0.0.1", static_cast<std::uint16_t>(kFirstPort + (offset++ % kPorts))};
+      HandleFailure(
+          [&]() -> Result<bool> {
+            BOOST_LEAF_ASSIGN(server_, HttpServerBuilder()
+                                           .Listen(address_)
+                                           .Threads(kThreads)
+                                           .Handler(role_->handler())
+                                           .Build());
+            return true;
+          },
+          [](const Failure&) { return false; });
+    }
+    if (!server_) throw std::runtime_error("no free port");
+  }
+
+  ~StandinServer() {
+    role_->Stop();
+    server_->Stop();
+  }
+
+  const Address& address() const { return address_; }
+
+  /// Sends a request; status 0 when no whole answer came.
+  HttpResponse Send(const HttpRequest& request, Duration timeout = std::chrono::seconds(20)) const {
+    HttpResponse response;
+    const bool whole = HandleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_ASSIGN(response, HttpClient(address_).Call(request, timeout));
+          return true;
+        },
+        [](const Failure&) { return false; });
+    if (!whole) response.status = 0;
+    return response;
+  }
+
+  HttpResponse Post(const std::string& path, const nlohmann::json& body) const {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body.dump();
+    return Send(request);
+  }
+
+  nlohmann::json Get(const std::string& path) const {
+    HttpRequest request;
+    request.path = path;
+    return nlohmann::json::parse(Send(request).body);
+  }
+
+ private:
+  std::unique_ptr<standin::Role> role_;
+  std::unique_ptr<HttpServer> server_;
+  Address address_;
+};
+
+}  // namespace bamboodock
