--- a/src/bamboodock/command/entry/attempt_client.cc
+++ b/src/bamboodock/command/entry/attempt_client.cc
@@ -186,9 +186,9 @@
 
 void AttemptClient::Apply(Exchange& exchange, const RefusedMessage& message) {
   exchange.result.epoch = message.epoch;
-  timeline_.Record(Event::kAttemptRefusedByPeer, exchange.request,
-                   std::string(Name(message.failure.code)) + " run=" +
-                       std::string(Name(message.failure.run)));
+  timeline_.Record(
+      Event::kAttemptRefusedByPeer, exchange.request,
+      std::string(Name(message.failure.code)) + " run=" + std::string(Name(message.failure.run)));
   exchange.Fail(message.failure);
 }
 
--- a/src/bamboodock/command/entry/call_command.cc
+++ b/src/bamboodock/command/entry/call_command.cc
@@ -16,8 +16,7 @@
 
 /// Headers that belong to the hop to the caller and are not passed on.
 constexpr std::array<std::string_view, 9> kHopHeaders{
-    "authorization", "connection",        "content-length",
-    "expect",        "host",              "keep-alive",
+    "authorization", "connection",        "content-length",          "expect", "host", "keep-alive",
     "upgrade",       "transfer-encoding", "x-bamboodock-deadline-ms"};
 
 bool IsHopHeader(const std::string& name) {
--- a/src/bamboodock/command/entry/channel_pool.h
+++ b/src/bamboodock/command/entry/channel_pool.h
@@ -25,8 +25,7 @@
 };
 
 /// Closes connections, which may wait for seconds when the peer is silent.
-class ChannelCloserDuty
-    : public Duty<ChannelCloserDuty, std::unique_ptr<MessageChannel>> {
+class ChannelCloserDuty : public Duty<ChannelCloserDuty, std::unique_ptr<MessageChannel>> {
  public:
   ~ChannelCloserDuty() { Stop(); }
   void Handle(std::unique_ptr<MessageChannel>& channel) { channel.reset(); }
--- a/src/bamboodock/command/entry/chat_command.cc
+++ b/src/bamboodock/command/entry/chat_command.cc
@@ -128,8 +128,8 @@
       AnswerCheck(step.plan->accept_confidence).Check(facts) == AnswerVerdict::kEscalate;
   context_.timeline.Record(Event::kAnswerChecked, chat.run->id(),
                            step.plan->version.value() + (escalate ? " rejected" : " accepted"));
-  context_.routes.Post(AnswerCheckedCommand{step.plan->version, chat.goal.kind,
-                                            !chat.rejected.empty(), !escalate});
+  context_.routes.Post(
+      AnswerCheckedCommand{step.plan->version, chat.goal.kind, !chat.rejected.empty(), !escalate});
   if (escalate) chat.rejected.push_back({step.plan->model, step.plan->version});
   return escalate;
 }
--- a/src/bamboodock/command/entry/entry_process.cc
+++ b/src/bamboodock/command/entry/entry_process.cc
@@ -61,8 +61,8 @@
         signer(settings.signing_key),
         attempts(channels, timeline),
         context{config, routes, ledger, attempts, timeline, signer, ids},
-        queries({settings.host.value(), config, routes, ledger, timeline,
-                 OperatorAddresses(settings)}),
+        queries(
+            {settings.host.value(), config, routes, ledger, timeline, OperatorAddresses(settings)}),
         commands(publisher, routes),
         rpc_methods({settings.host, incarnation, config, routes}),
         caller_handler(context, queries),
@@ -158,9 +158,9 @@
   const bool idle =
       parts.routes.WaitUntil(deadline, [](const RouteSnapshot& s) { return s.open == 0; });
   const bool settled = parts.ledger.WaitSettled(deadline);
-  parts.timeline.Record(Event::kStopped, RequestId(),
-                        std::string("idle=") + (idle ? "yes" : "no") +
-                            " settled=" + (settled ? "yes" : "no"));
+  parts.timeline.Record(
+      Event::kStopped, RequestId(),
+      std::string("idle=") + (idle ? "yes" : "no") + " settled=" + (settled ? "yes" : "no"));
   parts.caller_server->Stop();
   parts.operator_server->Stop();
   parts.rpc_server->Stop();
--- a/src/bamboodock/command/entry/publisher.cc
+++ b/src/bamboodock/command/entry/publisher.cc
@@ -187,13 +187,12 @@
     const bool acknowledged = reply->PopUntil(deadline).value_or(false);
     attempt.rule.OnPrepareAnswer(parts_.self, parts_.incarnation, acknowledged);
   }
-  const PrepareRequest request{
-      {attempt.set.publication, attempt.set.epoch, *attempt.set.text}};
+  const PrepareRequest request{{attempt.set.publication, attempt.set.epoch, *attempt.set.text}};
   for (const Address& peer : parts_.peers) {
     HandleFailure(
         [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(json, RpcClient(peer).Call("prepare", ToJson(request),
-                                                     config::kControlTimeout));
+          BOOST_LEAF_AUTO(
+              json, RpcClient(peer).Call("prepare", ToJson(request), config::kControlTimeout));
           BOOST_LEAF_AUTO(answer, FromJson<PrepareResponse>(json));
           attempt.rule.OnPrepareAnswer(answer.host, answer.incarnation, answer.acknowledged);
           return true;
@@ -273,8 +272,8 @@
   for (const Address& peer : parts_.peers) {
     HandleFailure(
         [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(json, RpcClient(peer).Call("announce", ToJson(request),
-                                                     config::kControlTimeout));
+          BOOST_LEAF_AUTO(
+              json, RpcClient(peer).Call("announce", ToJson(request), config::kControlTimeout));
           in_force.push_back({json.value("process", peer.ToString()),
                               Epoch(json.value("epoch", std::uint64_t{0}))});
           return true;
--- a/src/bamboodock/command/entry/request_run.cc
+++ b/src/bamboodock/command/entry/request_run.cc
@@ -10,11 +10,11 @@
 
 /// Refusals that another endpoint may not share.
 constexpr std::array kRetryableCodes{
-    ResultCode::kEndpointAtLimit,   ResultCode::kRingFull,         ResultCode::kLedgerFull,
-    ResultCode::kEndpointLeaving,   ResultCode::kStaleEpoch,       ResultCode::kNotFresh,
-    ResultCode::kZoneDrained,       ResultCode::kVersionNotServed, ResultCode::kNoConfiguration,
-    ResultCode::kConnectionFailed,  ResultCode::kEndpointFailed,   ResultCode::kConnectionSilent,
-    ResultCode::kAttemptUnknown,    ResultCode::kStopping,
+    ResultCode::kEndpointAtLimit,  ResultCode::kRingFull,         ResultCode::kLedgerFull,
+    ResultCode::kEndpointLeaving,  ResultCode::kStaleEpoch,       ResultCode::kNotFresh,
+    ResultCode::kZoneDrained,      ResultCode::kVersionNotServed, ResultCode::kNoConfiguration,
+    ResultCode::kConnectionFailed, ResultCode::kEndpointFailed,   ResultCode::kConnectionSilent,
+    ResultCode::kAttemptUnknown,   ResultCode::kStopping,
 };
 /// A plan is a matter of microseconds; a longer wait means that the duty is overloaded.
 constexpr std::chrono::milliseconds kPlanTimeout{500};
--- a/src/bamboodock/command/entry/route_duty.cc
+++ b/src/bamboodock/command/entry/route_duty.cc
@@ -76,10 +76,10 @@
     const AccountVerdict verdict = limiter_.Admit(*account, now);
     if (verdict != AccountVerdict::kAdmitted) {
       const bool rate = verdict == AccountVerdict::kRateLimit;
-      failure = Failure{
-          rate ? ResultCode::kAccountRateLimit : ResultCode::kAccountConcurrencyLimit,
-          "the client account is at its limit", RunState::kNotRun,
-          std::chrono::ceil<std::chrono::milliseconds>(limiter_.RetryAfter(*account, now))};
+      failure =
+          Failure{rate ? ResultCode::kAccountRateLimit : ResultCode::kAccountConcurrencyLimit,
+                  "the client account is at its limit", RunState::kNotRun,
+                  std::chrono::ceil<std::chrono::milliseconds>(limiter_.RetryAfter(*account, now))};
     }
   }
   if (!failure) {
@@ -140,8 +140,9 @@
 PlanReply RouteDuty::MakePlan(const PlanCommand& command) {
   const Ref<const ConfigSnapshot> config = parts_.config.snapshot();
   if (command.is_retry && !retries_.TryRetry()) {
-    return {std::nullopt, {ResultCode::kRetryBudgetSpent, "too many attempts are failing",
-                           RunState::kNotRun, kNoEndpointRetry}};
+    return {std::nullopt,
+            {ResultCode::kRetryBudgetSpent, "too many attempts are failing", RunState::kNotRun,
+             kNoEndpointRetry}};
   }
   if (command.is_retry) ++totals_.retries;
   return HandleFailure(
@@ -175,7 +176,9 @@
         reply.plan = plan;
         return reply;
       },
-      [](const Failure& failure) { return PlanReply{std::nullopt, failure}; });
+      [](const Failure& failure) {
+        return PlanReply{std::nullopt, failure};
+      });
 }
 
 Result<std::vector<CascadeStep>> RouteDuty::Candidates(const ConfigSnapshot& config,
--- a/src/bamboodock/command/entry/store_watch_duty.cc
+++ b/src/bamboodock/command/entry/store_watch_duty.cc
@@ -38,7 +38,8 @@
         if (head.epoch > parts_.config.snapshot()->epoch()) {
           BOOST_LEAF_CHECK(Install(head));
         } else {
-          parts_.config.Post(InstallCommand{{head.publication, head.epoch, nullptr, nullptr}, true});
+          parts_.config.Post(
+              InstallCommand{{head.publication, head.epoch, nullptr, nullptr}, true});
         }
         parts_.config.Post(ConfirmCommand{head.epoch, asked_at, {}});
         return true;
--- a/test/fakes/standin_server.h
+++ b/test/fakes/standin_server.h
@@ -4,7 +4,9 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "bamboodock/standin/roles.h"
 #include "bamboodock/transport/http_client.h"
@@ -37,7 +39,10 @@
 
   ~StandinServer() {
     role_->Stop();
-    server_->Stop();
+    // CivetWeb takes two seconds to stop, which the next tests need not wait for.
+    static Stoppers stoppers;
+    stoppers.threads.emplace_back(
+        [role = std::move(role_), server = std::move(server_)]() mutable { server.reset(); });
   }
 
   const Address& address() const { return address_; }
@@ -70,6 +75,10 @@
   }
 
  private:
+  struct Stoppers {
+    std::vector<std::jthread> threads;
+  };
+
   std::unique_ptr<standin::Role> role_;
   std::unique_ptr<HttpServer> server_;
   Address address_;
--- a/test/platform/http_table_test.cc
+++ b/test/platform/http_table_test.cc
@@ -48,7 +48,9 @@
 
   // Guards against "unknown" where nothing can have been sent.
   void NoServerIsUnavailable() {
-    server_.reset();
+    constexpr std::uint16_t kUnusedPort = 1;
+    table_ =
+        std::make_unique<HttpTable>(Address{"127.0.0.1", kUnusedPort}, std::chrono::seconds(20));
     CPPUNIT_ASSERT(Commit({{}, {{"k", "x"}}, {}}) == ResultCode::kStoreUnavailable);
   }
 
