Bound the work on malformed sets; accept only receipts

Cause: a cascade of 60,000 equal steps made the checker compare 1.8 billion pairs, a long id was repeated in every error of its object, and an answer with status 200 from a server that is not an entry counted as acceptance.

Change: strings take at most 128 bytes, cascades at most 16 steps, and the checker lists at most 1,000 errors. bamboodock-ctl takes an answer for an acceptance only when it states an epoch; otherwise the outcome is unknown.

Conclusion: work and memory on a malformed set are bounded by its size.

--- a/src/bamboodock/codec/object_set_codec.h
+++ b/src/bamboodock/codec/object_set_codec.h
@@ -15,9 +15,6 @@
 /// Largest accepted text of an object set; leaves room in a request body for the rest of `publish`.
 inline constexpr std::size_t kMaxObjectSetBytes = config::kMaxBodyBytes - 4096;
 
-/// Errors listed at most, so that a malformed text cannot exhaust memory.
-inline constexpr std::size_t kMaxSetErrors = 1000;
-
 /// Outcome of decoding: a set without errors, or errors and no set.
 struct DecodedObjectSet {
   Ref<const ObjectSet> set;
--- a/src/bamboodock/codec/object_set_decoder.cc
+++ b/src/bamboodock/codec/object_set_decoder.cc
@@ -16,6 +16,10 @@
 
 constexpr std::string_view kSetName = "set";
 
+/// The longest valid string, a key hash, has 64 bytes. Checker and router repeat ids in messages,
+/// so a string without a bound would be multiplied.
+constexpr std::size_t kMaxStringBytes = 128;
+
 /// A set nests six levels deep; deeper parts are not kept.
 constexpr int kMaxDepth = 8;
 
@@ -93,6 +97,9 @@
   void Read(const json& value, const std::string& path, NumberRange /*range*/, std::string& out) {
     if (!value.is_string()) return Report(path, "must be a string");
     out = value.get<std::string>();
+    if (out.size() > kMaxStringBytes) {
+      Report(path, "must not exceed " + std::to_string(kMaxStringBytes) + " bytes");
+    }
   }
 
   template <class Tag>
--- a/src/bamboodock/codec/operator_codec.cc
+++ b/src/bamboodock/codec/operator_codec.cc
@@ -65,6 +65,12 @@
 
 bool IsJson(std::string_view text) { return json::accept(text); }
 
+bool IsReceipt(std::string_view body) {
+  const json receipt = json::parse(body, nullptr, false);
+  return receipt.is_object() && receipt.contains("epoch") &&
+         receipt.at("epoch").is_number_unsigned();
+}
+
 OperatorError DecodeOperatorError(const HttpResponse& response) {
   const json body = json::parse(response.body, nullptr, false);
   const json error = Member(body, "error");
@@ -80,7 +86,7 @@
   if (decoded.message.empty()) {
     decoded.message = response.status == kUnprocessable && !decoded.set_errors.empty()
                           ? "the set was rejected"
-                          : "HTTP status " + std::to_string(response.status);
+                          : "unexpected answer with HTTP status " + std::to_string(response.status);
   }
   return decoded;
 }
--- a/src/bamboodock/codec/operator_codec.h
+++ b/src/bamboodock/codec/operator_codec.h
@@ -24,6 +24,9 @@
 /// Whether `text` is one JSON value.
 bool IsJson(std::string_view text);
 
+/// Whether the body of an answer states the epoch of an accepted publication.
+bool IsReceipt(std::string_view body);
+
 /// Refusal by the operator API.
 struct OperatorError {
   std::string message;
--- a/src/bamboodock/command/operator/command_sender.cc
+++ b/src/bamboodock/command/operator/command_sender.cc
@@ -10,7 +10,7 @@
 
 ExitCode JudgeAnswer(int status, const std::optional<OperatorError>& refusal,
                      bool has_lost_answer) {
-  if (status == kHttpOk) return ExitCode::kOk;
+  if (status == kHttpOk && !refusal) return ExitCode::kOk;
   // A refusal by one entry says nothing about what another entry may still do.
   const bool is_unknown = !refusal || refusal->run == RunState::kUnknown;
   if (has_lost_answer || is_unknown) return ExitCode::kOutcomeUnknown;
@@ -38,7 +38,10 @@
     return outcome;
   }
   const int status = outcome.response->status;
-  if (status != kHttpOk) outcome.refusal = DecodeOperatorError(*outcome.response);
+  // Another server may answer 200 to anything, so only a receipt counts as acceptance.
+  if (status != kHttpOk || !IsReceipt(outcome.response->body)) {
+    outcome.refusal = DecodeOperatorError(*outcome.response);
+  }
   outcome.exit_code = JudgeAnswer(status, outcome.refusal, has_lost_answer);
   return outcome;
 }
--- a/src/bamboodock/command/operator/command_sender.h
+++ b/src/bamboodock/command/operator/command_sender.h
@@ -15,7 +15,7 @@
   ExitCode exit_code = ExitCode::kUnreachable;
   /// Last answer; empty when no entry answered.
   std::optional<HttpResponse> response;
-  /// Refusal read from `response`; empty after success.
+  /// Refusal read from `response`; empty after an acceptance.
   std::optional<OperatorError> refusal;
   /// Last failure to get an answer.
   Failure failure;
--- a/src/bamboodock/objects/object_set_checker.cc
+++ b/src/bamboodock/objects/object_set_checker.cc
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kKeyHashLength = 64;
 
+/// Steps are compared in pairs, so their number is bounded like `max_steps`.
+constexpr std::size_t kMaxCascadeSteps = 16;
+
 std::string At(std::string_view list, std::size_t index, std::string_view member = "") {
   std::string path = std::string(list) + "[" + std::to_string(index) + "]";
   if (!member.empty()) path += "." + std::string(member);
@@ -84,6 +87,11 @@
 
 template <class Object>
 void ObjectSetChecker::Report(const Object& object, std::string field, std::string message) {
+  if (errors_.size() > kMaxSetErrors) return;
+  if (errors_.size() == kMaxSetErrors) {
+    errors_.push_back({"set", "", "further errors are not listed"});
+    return;
+  }
   errors_.push_back({ObjectName(object), std::move(field), std::move(message)});
 }
 
@@ -226,7 +234,10 @@
     if (models_.contains(ModelId(cascade.id.value()))) {
       Report(cascade, "id", "is also the id of a model; callers name both in one field");
     }
-    if (cascade.steps.empty()) Report(cascade, "steps", "must hold at least one step");
+    if (cascade.steps.empty() || cascade.steps.size() > kMaxCascadeSteps) {
+      Report(cascade, "steps", "must hold 1 to 16 steps");
+      continue;
+    }
     for (std::size_t i = 0; i < cascade.steps.size(); ++i) CheckStep(cascade, i);
   }
 }
--- a/src/bamboodock/objects/object_set_checker.h
+++ b/src/bamboodock/objects/object_set_checker.h
@@ -21,7 +21,7 @@
  public:
   explicit ObjectSetChecker(const ObjectSet& set);
 
-  /// All errors of the set; empty when it may be published.
+  /// All errors of the set, at most `kMaxSetErrors`; empty when it may be published.
   std::vector<SetError> Check();
 
  private:
--- a/src/bamboodock/objects/set_error.h
+++ b/src/bamboodock/objects/set_error.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 namespace bamboodock {
 
+/// Errors listed at most by the decoder or the checker, so that a malformed set cannot exhaust
+/// memory.
+inline constexpr std::size_t kMaxSetErrors = 1000;
+
 /// Fault found in an object set.
 struct SetError {
   /// Kind and id of the object, for example "endpoint nile-e1"; "set" for the set as a whole.
--- a/test/codec/object_set_codec_test.cc
+++ b/test/codec/object_set_codec_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(OversizedTextGivesOneError);
   CPPUNIT_TEST(BoundsTheNumberOfErrors);
   CPPUNIT_TEST(RejectsDeepNesting);
+  CPPUNIT_TEST(RejectsLongStrings);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +131,15 @@
     CPPUNIT_ASSERT(decoded.set == nullptr);
     CPPUNIT_ASSERT(!decoded.errors.empty());
   }
+
+  // Guards against one long id that is repeated in the messages of thousands of errors.
+  void RejectsLongStrings() {
+    SampleParts parts;
+    parts.zone.id = AvailabilityZoneId(std::string(100000, 'z'));
+    const DecodedObjectSet decoded = DecodeObjectSet(EncodeObjectSet(*parts.Build()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.errors.size());
+    CPPUNIT_ASSERT(decoded.errors[0].object.size() < 200);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectSetCodecTest);
--- a/test/command/operator/operator_commands_test.cc
+++ b/test/command/operator/operator_commands_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(RefusalAfterALostAnswerIsNotConclusive);
   CPPUNIT_TEST(ReportsEachExitCode);
   CPPUNIT_TEST(UnstatedRunStateOfServerErrorIsUnknown);
+  CPPUNIT_TEST(OnlyAReceiptIsAnAcceptance);
   CPPUNIT_TEST(SendsNothingOnWrongUsage);
   CPPUNIT_TEST(EncodesEveryCommand);
   CPPUNIT_TEST(PublishSendsTheTextAsWritten);
@@ -79,6 +80,14 @@
     CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kRefused);
   }
 
+  // Guards against "accepted" from a server that answers 200 to anything.
+  void OnlyAReceiptIsAnAcceptance() {
+    for (const char* body : {"", "ok", "[]", R"({"publication":"pub-1"})"}) {
+      caller_.Answer(1, 200, body);
+      CPPUNIT_ASSERT(Run({"drain", "west"}) == ExitCode::kOutcomeUnknown);
+    }
+  }
+
   // Guards against a mistyped command that reaches the router.
   void SendsNothingOnWrongUsage() {
     using Arguments = std::vector<std::string>;
--- a/test/config/settings_test.cc
+++ b/test/config/settings_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(DoesNotRepeatStrings);
   CPPUNIT_TEST(HelpWinsOverWrongSettings);
   CPPUNIT_TEST(HelpListsOnlyProgramFlags);
+  CPPUNIT_TEST(ParseLeavesProgramNameAndArguments);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +106,22 @@
     CPPUNIT_ASSERT(text.find("flagfile") == std::string::npos);
   }
 
+  // Guards against flags that a program then takes for operands, or lost operands.
+  void ParseLeavesProgramNameAndArguments() {
+    std::vector<std::string> words{"bin/program", "publish", "--settings_test_count=4", "file"};
+    std::vector<char*> values;
+    for (std::string& word : words) values.push_back(word.data());
+    values.push_back(nullptr);
+    int argc = static_cast<int>(words.size());
+    char** argv = values.data();
+    CPPUNIT_ASSERT(!ParseSettings(&argc, &argv, "[flags]").has_value());
+    CPPUNIT_ASSERT_EQUAL(3, argc);
+    CPPUNIT_ASSERT_EQUAL(std::string("publish"), std::string(argv[1]));
+    CPPUNIT_ASSERT_EQUAL(std::string("file"), std::string(argv[2]));
+    CPPUNIT_ASSERT(argv[3] == nullptr);
+    CPPUNIT_ASSERT_EQUAL(4, FLAGS_settings_test_count);
+  }
+
  private:
   static AppliedSettings Accept(const std::vector<std::string>& arguments,
                                 const std::vector<std::string>& environment) {
--- a/test/objects/object_set_checker_test.cc
+++ b/test/objects/object_set_checker_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ReportsEndpoints);
   CPPUNIT_TEST(ReturnsErrorsOfAllRules);
   CPPUNIT_TEST(WithdrawnStepDoesNotBlockAWithdrawal);
+  CPPUNIT_TEST(BoundsItsWork);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,6 +133,16 @@
     CPPUNIT_ASSERT(CheckObjectSet(*parts.Build()).empty());
   }
 
+  // Guards against a set that exhausts memory by errors: 60,000 equal steps are 1.8 billion pairs.
+  void BoundsItsWork() {
+    SampleParts parts;
+    parts.cascade.steps.assign(60000, parts.cascade.steps[0]);
+    ExpectOnly(parts, {{"cascade summary-auto", "steps"}});
+    parts = SampleParts();
+    parts.service.versions.assign(5000, VersionId("absent"));
+    CPPUNIT_ASSERT_EQUAL(kMaxSetErrors + 1, CheckObjectSet(*parts.Build()).size());
+  }
+
  private:
   struct Place {
     std::string object;
