Give the fixed threshold windows of 5 minutes; test the fakes

Cause: as a baseline, the threshold over whole steps of a roll-out needed 1,444 s to withdraw a version that turned bad after 4 h, and withdrew 20 of 200 good versions, with at least 50 answers. Change: windows of 5 minutes with at least 200 answers.

--- a/src/bamboodock/experiment/rollout_experiment.cc
+++ b/src/bamboodock/experiment/rollout_experiment.cc
@@ -12,6 +12,8 @@
 using std::chrono::minutes;
 
 constexpr std::uint64_t kSeeds = 200;
+/// Within a window of the fixed threshold, not at its start.
+constexpr Duration kTurnsBadAfter = hours(4) + minutes(2);
 constexpr double kBadAnswersGoal = 25;
 constexpr double kFalseGoal = 0.01;
 
@@ -47,8 +49,8 @@
   RolloutSettings settings = Base();
   settings.rate = RequestRate(rate);
   settings.bad_errors = Ratio(0.3);
-  settings.bad_from = MonotonicTime{hours(4)};
-  settings.end = MonotonicTime{hours(4) + minutes(30)};
+  settings.bad_from = MonotonicTime{kTurnsBadAfter};
+  settings.end = MonotonicTime{kTurnsBadAfter + minutes(30)};
   return settings;
 }
 
--- a/src/bamboodock/experiment/rollout_run.cc
+++ b/src/bamboodock/experiment/rollout_run.cc
@@ -9,9 +9,11 @@
 namespace bamboodock::experiment {
 namespace {
 
-/// The fixed rule withdraws above this error rate, once a step has enough answers to tell.
+/// The fixed rule withdraws above this error rate, once a window has enough answers to tell. With
+/// windows as long as a step it needed 1,444 s; with 50 answers, 10% of good versions were lost.
 constexpr double kThreshold = 0.05;
-constexpr std::uint64_t kThresholdAnswers = 50;
+constexpr std::uint64_t kThresholdAnswers = 200;
+constexpr Duration kThresholdWindow = std::chrono::minutes(5);
 
 }  // namespace
 
@@ -84,12 +86,13 @@
 }
 
 bool RolloutRun::ExceedsThreshold(Entry& entry) const {
-  if (entry.step != Step()) {
-    entry.step = Step();
-    entry.step_start = entry.evidence.total();
+  const auto window = loop_.now().time_since_epoch() / kThresholdWindow;
+  if (entry.window != window) {
+    entry.window = window;
+    entry.window_start = entry.evidence.total();
   }
-  const std::uint64_t answers = entry.evidence.total().answers - entry.step_start.answers;
-  const std::uint64_t errors = entry.evidence.total().errors - entry.step_start.errors;
+  const std::uint64_t answers = entry.evidence.total().answers - entry.window_start.answers;
+  const std::uint64_t errors = entry.evidence.total().errors - entry.window_start.errors;
   return answers >= kThresholdAnswers &&
          static_cast<double>(errors) > kThreshold * static_cast<double>(answers);
 }
--- a/src/bamboodock/experiment/rollout_run.h
+++ b/src/bamboodock/experiment/rollout_run.h
@@ -40,9 +40,9 @@
   struct Entry {
     VersionEvidence evidence;
     RolloutGuard guard;
-    /// Total at the start of the current step, for the fixed threshold.
-    EvidenceCounters step_start;
-    std::size_t step = 0;
+    /// Total at the start of the current window, for the fixed threshold.
+    EvidenceCounters window_start;
+    std::int64_t window = 0;
     bool stopped = false;
   };
 
--- a/src/bamboodock/experiment/rollout_settings.h
+++ b/src/bamboodock/experiment/rollout_settings.h
@@ -12,7 +12,7 @@
 enum class GuardRule : std::uint8_t {
   /// Sequential test on merged evidence.
   kSequential,
-  /// Error rate of each step of the roll-out against a threshold.
+  /// Error rate in windows of a fixed length against a threshold.
   kFixedThreshold,
 };
 
