--- a/src/bamboodock/experiment/rollout_experiment.cc
+++ b/src/bamboodock/experiment/rollout_experiment.cc
@@ -2,6 +2,7 @@
 
 #include "bamboodock/experiment/rollout_run.h"
 #include "bamboodock/experiment/samples.h"
+#include "bamboodock/experiment/seeds.h"
 #include "bamboodock/experiment/time.h"
 
 namespace bamboodock::experiment {
@@ -11,6 +12,8 @@
 using std::chrono::minutes;
 
 constexpr std::uint64_t kSeeds = 200;
+/// Within a window of the fixed threshold, not at its start.
+constexpr Duration kTurnsBadAfter = hours(4) + minutes(2);
 constexpr double kBadAnswersGoal = 25;
 constexpr double kFalseGoal = 0.01;
 
@@ -46,8 +49,8 @@
   RolloutSettings settings = Base();
   settings.rate = RequestRate(rate);
   settings.bad_errors = Ratio(0.3);
-  settings.bad_from = MonotonicTime{hours(4)};
-  settings.end = MonotonicTime{hours(4) + minutes(30)};
+  settings.bad_from = MonotonicTime{kTurnsBadAfter};
+  settings.end = MonotonicTime{kTurnsBadAfter + minutes(30)};
   return settings;
 }
 
@@ -82,8 +85,8 @@
 CaseResult RunCase(RolloutSettings settings, GuardRule rule) {
   settings.rule = rule;
   CaseResult sum;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const RolloutResult result = RolloutRun(settings, seed).Run();
+  const auto run = [&](std::uint64_t seed) { return RolloutRun(settings, seed).Run(); };
+  for (const RolloutResult& result : RunSeeds(kSeeds, run)) {
     if (result.withdrawn) ++sum.withdrawn;
     if (result.withdrawn && *result.withdrawn < settings.bad_from) {
       ++sum.early;
