--- a/src/bamboodock/core/result_code.h
+++ b/src/bamboodock/core/result_code.h
@@ -37,12 +37,10 @@
   kEndpointLeaving = 303,
   kVersionNotServed = 304,
   kPublishConflict = 305,
-  kSetRejected = 306,
   kWitnessesUnreachable = 307,
   kNoConfiguration = 308,
   // 4xx: at most once.
   kAttemptUnknown = 400,
-  kAttemptRefused = 401,
   kAlreadyRunning = 402,
   kOutcomeUnknown = 403,
   kClaimUnavailable = 404,
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -9,10 +9,8 @@
 enum class Event : std::uint16_t {
   // 1xx: process.
   kStarted = 100,
-  kReady = 101,
   kStopping = 102,
   kStopped = 103,
-  kSettingsRejected = 104,
   // 2xx: configuration.
   kConfigInstalled = 200,
   kPublishPrepared = 201,
@@ -20,9 +18,7 @@
   kPublishRefused = 203,
   kFreshnessLost = 204,
   kFreshnessRegained = 205,
-  kWitnessAttested = 206,
   kVersionStopped = 207,
-  kPendingResolved = 208,
   // 3xx: request at the entry.
   kRequestAccepted = 300,
   kRequestRefused = 301,
--- a/src/bamboodock/observe/log.cc
+++ b/src/bamboodock/observe/log.cc
@@ -9,11 +9,11 @@
 namespace {
 
 constexpr std::array kWarnings{
-    Event::kSettingsRejected, Event::kPublishRefused,  Event::kFreshnessLost,
-    Event::kRequestFailed,    Event::kAttemptFailed,   Event::kClaimFailed,
-    Event::kEngineSilent,     Event::kEndpointCold,    Event::kBillingTakenOver,
-    Event::kStoreFailed,      Event::kPeerUnreachable, Event::kOrderRefused,
-    Event::kVersionStopped,   Event::kLeaseLost,
+    Event::kPublishRefused,  Event::kFreshnessLost,    Event::kRequestFailed,
+    Event::kAttemptFailed,   Event::kClaimFailed,      Event::kEngineSilent,
+    Event::kEndpointCold,    Event::kBillingTakenOver, Event::kStoreFailed,
+    Event::kPeerUnreachable, Event::kOrderRefused,     Event::kVersionStopped,
+    Event::kLeaseLost,
 };
 
 spdlog::level::level_enum LevelOf(Event event) {
