--- a/apps/replay.cc
+++ b/apps/replay.cc
@@ -21,7 +21,9 @@
 bool Check(const std::string& file) {
   return bamboodock::HandleFailure(
       [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(report, ReplayFile(file));
+        Result<ReplayReport> result = ReplayFile(file);
+        if (!result) return result.error();
+        const ReplayReport& report = *result;
         for (const auto& mismatch : report.mismatches) {
           std::cerr << file << ":" << mismatch.line << ": expected \"" << mismatch.expected
                     << "\", got \"" << mismatch.got << "\"\n";
--- a/src/bamboodock/replay/attempt_replay.cc
+++ b/src/bamboodock/replay/attempt_replay.cc
@@ -16,7 +16,7 @@
         registry_(Make(process)) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"boot", &AttemptReplay::Boot, {"incarnation"}},
         {"start", &AttemptReplay::Start, {"attempt", "incarnation", "#deadline"}},
         {"refuse", &AttemptReplay::Refuse, {"attempt", "incarnation", "#deadline", "code"}},
@@ -25,7 +25,7 @@
         {"look", &AttemptReplay::Look, {"attempt"}},
         {"expire", &AttemptReplay::Expire, {}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -71,7 +71,7 @@
   }
 
   static std::string Describe(const AttemptDecision& decision) {
-    static const std::vector<std::pair<AttemptVerdict, std::string_view>> names = {
+    static const std::vector<std::pair<AttemptVerdict, std::string_view>> kNames = {
         {AttemptVerdict::kStart, "start"},
         {AttemptVerdict::kRefused, "refused"},
         {AttemptVerdict::kAlreadyRunning, "already_running"},
@@ -80,7 +80,7 @@
         {AttemptVerdict::kPastDeadline, "past_deadline"},
         {AttemptVerdict::kEarlierIncarnation, "earlier_incarnation"},
     };
-    std::string text = NameIn(names, decision.verdict);
+    std::string text = NameIn(kNames, decision.verdict);
     const bool runs = decision.verdict == AttemptVerdict::kStart ||
                       decision.verdict == AttemptVerdict::kAlreadyRunning ||
                       decision.verdict == AttemptVerdict::kFinished;
@@ -95,7 +95,8 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeAttemptReplay(const TraceFields& settings, std::string process) {
+std::unique_ptr<RuleReplay> MakeAttemptReplay(const TraceFields& settings,
+                                              const std::string& process) {
   return std::make_unique<AttemptReplay>(settings, process);
 }
 
--- a/src/bamboodock/replay/billing_replay.cc
+++ b/src/bamboodock/replay/billing_replay.cc
@@ -16,7 +16,7 @@
   }
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"reserve", &BillingReplay::Reserve, {}},
         {"add", &BillingReplay::Add, {"request", "holder", "#step", "#cost"}},
         {"due", &BillingReplay::Due, {}},
@@ -25,7 +25,7 @@
         {"postpone", &BillingReplay::Postpone, {"request", "#until"}},
         {"confirm", &BillingReplay::Confirm, {"request", "#step"}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -61,18 +61,18 @@
   }
 
   std::string OnWrite(const TraceLine& line) {
-    static const std::vector<std::pair<BillingWriteOutcome, std::string_view>> outcomes = {
+    static const std::vector<std::pair<BillingWriteOutcome, std::string_view>> kOutcomes = {
         {BillingWriteOutcome::kAnswerLost, "answer_lost"},
         {BillingWriteOutcome::kWritten, "written"},
         {BillingWriteOutcome::kConflict, "conflict"},
         {BillingWriteOutcome::kNotSent, "not_sent"},
     };
-    static const std::vector<std::pair<BillingNext, std::string_view>> names = {
+    static const std::vector<std::pair<BillingNext, std::string_view>> kNames = {
         {BillingNext::kConfirmed, "confirmed"},
         {BillingNext::kReadAgain, "read_again"},
         {BillingNext::kWait, "wait"},
     };
-    return NameIn(names, BillingRule::OnWrite(ValueIn(outcomes, line.fields.Text("outcome"))));
+    return NameIn(kNames, BillingRule::OnWrite(ValueIn(kOutcomes, line.fields.Text("outcome"))));
   }
 
   std::string Postpone(const TraceLine& line) {
@@ -95,7 +95,7 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeBillingReplay(const TraceFields& settings, std::string) {
+std::unique_ptr<RuleReplay> MakeBillingReplay(const TraceFields& settings, const std::string&) {
   return std::make_unique<BillingReplay>(settings);
 }
 
--- a/src/bamboodock/replay/claim_replay.cc
+++ b/src/bamboodock/replay/claim_replay.cc
@@ -6,26 +6,26 @@
 namespace {
 
 const std::vector<std::pair<ClaimState, std::string_view>>& StateNames() {
-  static const std::vector<std::pair<ClaimState, std::string_view>> names = {
+  static const std::vector<std::pair<ClaimState, std::string_view>> kNames = {
       {ClaimState::kStarted, "started"},
       {ClaimState::kFinished, "finished"},
       {ClaimState::kReleased, "released"},
   };
-  return names;
+  return kNames;
 }
 
 const std::vector<std::pair<ClaimWriteOutcome, std::string_view>>& OutcomeNames() {
-  static const std::vector<std::pair<ClaimWriteOutcome, std::string_view>> names = {
+  static const std::vector<std::pair<ClaimWriteOutcome, std::string_view>> kNames = {
       {ClaimWriteOutcome::kAnswerLost, "answer_lost"},
       {ClaimWriteOutcome::kWritten, "written"},
       {ClaimWriteOutcome::kConflict, "conflict"},
       {ClaimWriteOutcome::kNotSent, "not_sent"},
   };
-  return names;
+  return kNames;
 }
 
 const std::vector<std::pair<ClaimStep, std::string_view>>& StepNames() {
-  static const std::vector<std::pair<ClaimStep, std::string_view>> names = {
+  static const std::vector<std::pair<ClaimStep, std::string_view>> kNames = {
       {ClaimStep::kReadRow, "read_row"},
       {ClaimStep::kWriteRow, "write_row"},
       {ClaimStep::kReadBack, "read_back"},
@@ -34,21 +34,21 @@
       {ClaimStep::kAnswerUnknown, "answer_unknown"},
       {ClaimStep::kRefuseNotRun, "refuse_not_run"},
   };
-  return names;
+  return kNames;
 }
 
 class ClaimReplay final : public TableReplay<ClaimReplay> {
  public:
-  explicit ClaimReplay(std::string process) : owner_(std::move(process)), rule_(ClaimRow()) {}
+  explicit ClaimReplay(const std::string& process) : owner_(process), rule_(ClaimRow()) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"begin", &ClaimReplay::Begin, {"attempt", "call"}},
         {"row", &ClaimReplay::OnRow, {}},
         {"read_failed", &ClaimReplay::OnReadFailed, {}},
         {"write", &ClaimReplay::OnWrite, {"outcome"}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -96,8 +96,8 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeClaimReplay(const TraceFields&, std::string process) {
-  return std::make_unique<ClaimReplay>(std::move(process));
+std::unique_ptr<RuleReplay> MakeClaimReplay(const TraceFields&, const std::string& process) {
+  return std::make_unique<ClaimReplay>(process);
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/replay/freshness_replay.cc
+++ b/src/bamboodock/replay/freshness_replay.cc
@@ -14,7 +14,7 @@
               Ids<HostId>(settings.List("witnesses"))) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"confirm", &FreshnessReplay::Confirm, {"#epoch", "#confirmed_at"}},
         {"attest", &FreshnessReplay::Attest, {"witness", "#epoch", "#asked_at"}},
         {"install", &FreshnessReplay::Install, {"#epoch"}},
@@ -22,7 +22,7 @@
         {"release", &FreshnessReplay::Release, {"publication"}},
         {"judge", &FreshnessReplay::Judge, {}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -54,13 +54,13 @@
   }
 
   std::string Judge(const TraceLine& line) {
-    static const std::vector<std::pair<FreshnessVerdict, std::string_view>> names = {
+    static const std::vector<std::pair<FreshnessVerdict, std::string_view>> kNames = {
         {FreshnessVerdict::kFresh, "fresh"},
         {FreshnessVerdict::kFreshByWitnesses, "fresh_by_witnesses"},
         {FreshnessVerdict::kNotFresh, "not_fresh"},
         {FreshnessVerdict::kBehind, "behind"},
     };
-    return NameIn(names, rule_.Judge(line.time));
+    return NameIn(kNames, rule_.Judge(line.time));
   }
 
   FreshnessRule rule_;
@@ -68,7 +68,7 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeFreshnessReplay(const TraceFields& settings, std::string) {
+std::unique_ptr<RuleReplay> MakeFreshnessReplay(const TraceFields& settings, const std::string&) {
   return std::make_unique<FreshnessReplay>(settings);
 }
 
--- a/src/bamboodock/replay/lease_replay.cc
+++ b/src/bamboodock/replay/lease_replay.cc
@@ -7,19 +7,19 @@
 
 class LeaseReplay final : public TableReplay<LeaseReplay> {
  public:
-  LeaseReplay(const TraceFields& settings, std::string process)
-      : rule_(IncarnationId(std::move(process)), settings.Millis("duration_ms"),
+  LeaseReplay(const TraceFields& settings, const std::string& process)
+      : rule_(IncarnationId(process), settings.Millis("duration_ms"),
               settings.Millis("margin_ms")) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"acquired", &LeaseReplay::Acquired, {"#fencing", "#sent"}},
         {"row", &LeaseReplay::OnRow, {"holder", "#fencing", "changed"}},
         {"fencing_seen", &LeaseReplay::OnFencingSeen, {"#fencing"}},
         {"may_take_over", &LeaseReplay::MayTakeOver, {}},
         {"order", &LeaseReplay::Order, {"#decided", "#known"}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -46,13 +46,13 @@
   }
 
   std::string Order(const TraceLine& line) {
-    static const std::vector<std::pair<LeaseVerdict, std::string_view>> names = {
+    static const std::vector<std::pair<LeaseVerdict, std::string_view>> kNames = {
         {LeaseVerdict::kAllowed, "allowed"},        {LeaseVerdict::kNoLease, "no_lease"},
         {LeaseVerdict::kExpired, "expired"},        {LeaseVerdict::kSuperseded, "superseded"},
         {LeaseVerdict::kStaleEpoch, "stale_epoch"},
     };
-    return NameIn(names, rule_.Judge(line.time, Epoch(line.fields.Number("decided")),
-                                     Epoch(line.fields.Number("known"))));
+    return NameIn(kNames, rule_.Judge(line.time, Epoch(line.fields.Number("decided")),
+                                      Epoch(line.fields.Number("known"))));
   }
 
   LeaseRule rule_;
@@ -60,8 +60,9 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeLeaseReplay(const TraceFields& settings, std::string process) {
-  return std::make_unique<LeaseReplay>(settings, std::move(process));
+std::unique_ptr<RuleReplay> MakeLeaseReplay(const TraceFields& settings,
+                                            const std::string& process) {
+  return std::make_unique<LeaseReplay>(settings, process);
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/replay/publication_replay.cc
+++ b/src/bamboodock/replay/publication_replay.cc
@@ -6,7 +6,7 @@
 namespace {
 
 const std::vector<std::pair<PublicationStep, std::string_view>>& StepNames() {
-  static const std::vector<std::pair<PublicationStep, std::string_view>> names = {
+  static const std::vector<std::pair<PublicationStep, std::string_view>> kNames = {
       {PublicationStep::kReadPublication, "read_publication"},
       {PublicationStep::kReadHead, "read_head"},
       {PublicationStep::kPutObject, "put_object"},
@@ -19,17 +19,17 @@
       {PublicationStep::kFailed, "failed"},
       {PublicationStep::kUnknown, "unknown"},
   };
-  return names;
+  return kNames;
 }
 
 const std::vector<std::pair<CommitOutcome, std::string_view>>& OutcomeNames() {
-  static const std::vector<std::pair<CommitOutcome, std::string_view>> names = {
+  static const std::vector<std::pair<CommitOutcome, std::string_view>> kNames = {
       {CommitOutcome::kAnswerLost, "answer_lost"},
       {CommitOutcome::kCommitted, "committed"},
       {CommitOutcome::kConflict, "conflict"},
       {CommitOutcome::kNotSent, "not_sent"},
   };
-  return names;
+  return kNames;
 }
 
 class PublicationReplay final : public TableReplay<PublicationReplay> {
@@ -38,7 +38,7 @@
       : witnesses_(Ids<HostId>(settings.List("witnesses"))), rule_(PublicationId(), witnesses_) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"begin", &PublicationReplay::Begin, {"publication"}},
         {"publication_row", &PublicationReplay::OnRow, {}},
         {"head", &PublicationReplay::OnHead, {"publication", "#epoch"}},
@@ -49,7 +49,7 @@
         {"read_back", &PublicationReplay::OnReadBack, {"head", "#head_epoch"}},
         {"store_unavailable", &PublicationReplay::OnStoreUnavailable, {}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -127,7 +127,7 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakePublicationReplay(const TraceFields& settings, std::string) {
+std::unique_ptr<RuleReplay> MakePublicationReplay(const TraceFields& settings, const std::string&) {
   return std::make_unique<PublicationReplay>(settings);
 }
 
--- a/src/bamboodock/replay/replayer.cc
+++ b/src/bamboodock/replay/replayer.cc
@@ -10,16 +10,16 @@
 
 namespace {
 
-using Maker = std::unique_ptr<RuleReplay> (*)(const TraceFields&, std::string);
+using Maker = std::unique_ptr<RuleReplay> (*)(const TraceFields&, const std::string&);
 
 const std::map<std::string, Maker>& Makers() {
-  static const std::map<std::string, Maker> makers = {
+  static const std::map<std::string, Maker> kMakers = {
       {"attempt", &MakeAttemptReplay}, {"billing", &MakeBillingReplay},
       {"claim", &MakeClaimReplay},     {"freshness", &MakeFreshnessReplay},
       {"lease", &MakeLeaseReplay},     {"publication", &MakePublicationReplay},
       {"stream", &MakeStreamReplay},   {"witness", &MakeWitnessReplay},
   };
-  return makers;
+  return kMakers;
 }
 
 class Replayer {
--- a/src/bamboodock/replay/rule_replay.h
+++ b/src/bamboodock/replay/rule_replay.h
@@ -71,17 +71,26 @@
 template <class Id>
 std::vector<Id> Ids(const std::vector<std::string>& names) {
   std::vector<Id> ids;
+  ids.reserve(names.size());
   for (const std::string& name : names) ids.emplace_back(name);
   return ids;
 }
 
-std::unique_ptr<RuleReplay> MakeAttemptReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeBillingReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeClaimReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeFreshnessReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeLeaseReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakePublicationReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings, std::string process);
-std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings, std::string process);
+std::unique_ptr<RuleReplay> MakeAttemptReplay(const TraceFields& settings,
+                                              const std::string& process);
+std::unique_ptr<RuleReplay> MakeBillingReplay(const TraceFields& settings,
+                                              const std::string& process);
+std::unique_ptr<RuleReplay> MakeClaimReplay(const TraceFields& settings,
+                                            const std::string& process);
+std::unique_ptr<RuleReplay> MakeFreshnessReplay(const TraceFields& settings,
+                                                const std::string& process);
+std::unique_ptr<RuleReplay> MakeLeaseReplay(const TraceFields& settings,
+                                            const std::string& process);
+std::unique_ptr<RuleReplay> MakePublicationReplay(const TraceFields& settings,
+                                                  const std::string& process);
+std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings,
+                                             const std::string& process);
+std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings,
+                                              const std::string& process);
 
 }  // namespace bamboodock
--- a/src/bamboodock/replay/stream_replay.cc
+++ b/src/bamboodock/replay/stream_replay.cc
@@ -14,13 +14,13 @@
                     : 5) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"chunk", &StreamReplay::Chunk, {"attempt", "#seq"}},
         {"end", &StreamReplay::End, {"attempt", "#count"}},
         {"silence", &StreamReplay::Silence, {}},
         {"give_up", &StreamReplay::GiveUp, {}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -39,12 +39,12 @@
   std::string GiveUp(const TraceLine&) { return Describe(stream_.OnGiveUp()); }
 
   std::string Describe(StreamVerdict verdict) const {
-    static const std::vector<std::pair<StreamVerdict, std::string_view>> names = {
+    static const std::vector<std::pair<StreamVerdict, std::string_view>> kNames = {
         {StreamVerdict::kDeliver, "deliver"},       {StreamVerdict::kIgnore, "ignore"},
         {StreamVerdict::kResume, "resume from"},    {StreamVerdict::kComplete, "complete"},
         {StreamVerdict::kIncomplete, "incomplete"},
     };
-    std::string text = NameIn(names, verdict);
+    std::string text = NameIn(kNames, verdict);
     if (verdict == StreamVerdict::kResume) text += " " + std::to_string(stream_.next().value());
     return text;
   }
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings, std::string) {
+std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings, const std::string&) {
   return std::make_unique<StreamReplay>(settings);
 }
 
--- a/src/bamboodock/replay/witness_replay.cc
+++ b/src/bamboodock/replay/witness_replay.cc
@@ -7,11 +7,11 @@
 
 class WitnessReplay final : public TableReplay<WitnessReplay> {
  public:
-  WitnessReplay(const TraceFields& settings, std::string process)
-      : rule_(HostId(std::move(process)), Ids<HostId>(settings.List("witnesses"))) {}
+  WitnessReplay(const TraceFields& settings, const std::string& process)
+      : rule_(HostId(process), Ids<HostId>(settings.List("witnesses"))) {}
 
   static const std::vector<Entry>& Events() {
-    static const std::vector<Entry> events = {
+    static const std::vector<Entry> kEvents = {
         {"prepare", &WitnessReplay::Prepare, {"publication", "#next"}},
         {"learn", &WitnessReplay::Learn, {"#epoch", "accepted"}},
         {"learn_from_store", &WitnessReplay::LearnFromStore, {"#epoch", "accepted"}},
@@ -21,7 +21,7 @@
         {"drop", &WitnessReplay::Drop, {"publication"}},
         {"attestation", &WitnessReplay::Attestation, {"store_answers"}},
     };
-    return events;
+    return kEvents;
   }
 
  private:
@@ -77,8 +77,9 @@
 
 }  // namespace
 
-std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings, std::string process) {
-  return std::make_unique<WitnessReplay>(settings, std::move(process));
+std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings,
+                                              const std::string& process) {
+  return std::make_unique<WitnessReplay>(settings, process);
 }
 
 }  // namespace bamboodock
--- a/test/replay/replayer_test.cc
+++ b/test/replay/replayer_test.cc
@@ -16,7 +16,9 @@
       [&]() -> Result<std::string> {
         std::istringstream in(text);
         BOOST_LEAF_AUTO(trace, ReadTrace(in));
-        BOOST_LEAF_AUTO(report, Replay(trace));
+        Result<ReplayReport> result = Replay(trace);
+        if (!result) return result.error();
+        const ReplayReport& report = *result;
         std::string outcome = std::to_string(report.expectations) + " expectations";
         for (const TraceMismatch& m : report.mismatches) {
           outcome += "; line " + std::to_string(m.line) + ": " + m.expected + " != " + m.got;
