Sort the attestation times instead of partitioning them

Cause: clang-tidy reports a narrowing conversion in the iterator arithmetic of nth_element. Change: the at most nine times are sorted.

--- a/src/bamboodock/policy/freshness_rule.cc
+++ b/src/bamboodock/policy/freshness_rule.cc
@@ -1,6 +1,7 @@
 #include "bamboodock/policy/freshness_rule.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace bamboodock {
@@ -78,7 +79,7 @@
   const std::size_t majority = witnesses_.size() / 2 + 1;
   if (witnesses_.empty() || times.size() < majority) return std::nullopt;
   // The oldest of the youngest majority bounds the age of the majority as a whole.
-  std::nth_element(times.begin(), times.begin() + (majority - 1), times.end(), std::greater<>());
+  std::sort(times.begin(), times.end(), std::greater<>());
   return times[majority - 1];
 }
 
