Reserve the vector of the settings test

Cause: clang-tidy reports a push_back in a loop without a reserve. Change: reserve before the loop. Conclusion: no change of behaviour.

--- a/test/config/settings_test.cc
+++ b/test/config/settings_test.cc
@@ -110,6 +110,7 @@
   void ParseLeavesProgramNameAndArguments() {
     std::vector<std::string> words{"bin/program", "publish", "--settings_test_count=4", "file"};
     std::vector<char*> values;
+    values.reserve(words.size() + 1);
     for (std::string& word : words) values.push_back(word.data());
     values.push_back(nullptr);
     int argc = static_cast<int>(words.size());
