--- a/apps/standin.cc
+++ b/apps/standin.cc
@@ -1,15 +1,11 @@
 #include <gflags/gflags.h>
 
 #include <array>
-#include <cctype>
 #include <csignal>
-#include <cstdlib>
-#include <iostream>
-#include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
+#include "bamboodock/config/settings.h"
 #include "bamboodock/standin/roles.h"
 #include "bamboodock/transport/address.h"
 
@@ -31,38 +27,9 @@
 DEFINE_bool(check_fencing, false, "engine: refuse orders with an old fencing number");
 DEFINE_double(call_ms, 0.0, "service: time that a call takes");
 
-namespace GFLAGS_NAMESPACE {
-// Not in the headers of gflags; called with 1 on a wrong flag.
-extern void (*gflags_exitfunc)(int);
-}  // namespace GFLAGS_NAMESPACE
-
 namespace bamboodock::standin {
 namespace {
 
-constexpr int kExitBadFlag = 2;
-
-void ExitOnBadFlag(int /*code*/) { std::exit(kExitBadFlag); }
-
-/// Takes flags from BAMBOODOCK_<FLAG> variables first and from the command line last.
-void ReadFlags(int argc, char** argv) {
-  std::vector<gflags::CommandLineFlagInfo> flags;
-  gflags::GetAllFlags(&flags);
-  for (const gflags::CommandLineFlagInfo& flag : flags) {
-    std::string variable = "BAMBOODOCK_" + flag.name;
-    for (char& letter : variable) letter = static_cast<char>(std::toupper(letter));
-    const char* value = std::getenv(variable.c_str());
-    if (value == nullptr || !gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
-      continue;
-    }
-    ExitOnBadFlag(1);
-  }
-  GFLAGS_NAMESPACE::gflags_exitfunc = &ExitOnBadFlag;
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (argc == 1) return;
-  std::cerr << "bamboodock-standin: unexpected argument '" << argv[1] << "'\n";
-  ExitOnBadFlag(1);
-}
-
 Duration Milliseconds(double value) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
 }
@@ -137,11 +104,12 @@
 }  // namespace bamboodock::standin
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("--role=platform|engine|service --listen=IP:PORT");
-  bamboodock::standin::ReadFlags(argc, argv);
+  const auto exit_code =
+      bamboodock::ParseSettings(&argc, &argv, "--role=platform|engine|service --listen=IP:PORT");
+  if (exit_code) return *exit_code;
+  if (argc > 1) return bamboodock::ReportWrongSetting("unexpected argument");
   return bamboodock::HandleFailure([] { return bamboodock::standin::Serve(); },
                                    [](const bamboodock::Failure& failure) {
-                                     std::cerr << "bamboodock-standin: " << failure.detail << '\n';
-                                     return bamboodock::standin::kExitBadFlag;
+                                     return bamboodock::ReportWrongSetting(failure.detail);
                                    });
 }
