--- a/src/bamboodock/command/entry/withdraw_duty.cc
+++ b/src/bamboodock/command/entry/withdraw_duty.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "bamboodock/objects/version_withdrawal.h"
+
 namespace bamboodock {
 namespace {
 
@@ -15,10 +17,7 @@
       return Raise(ResultCode::kNotFound,
                    "no version " + model.value() + "@" + version.value() + " in the set");
     }
-    ObjectSetBuilder builder(*current);
-    builder.SetStage(model, version, stage);
-    if (stage != VersionStage::kActive) builder.RemoveShare(model, version);
-    return builder.Build();
+    return WithVersionStage(*current, model, version, stage);
   };
 }
 
--- a/src/bamboodock/core/strong_id.h
+++ b/src/bamboodock/core/strong_id.h
@@ -20,7 +20,8 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend auto operator<=>(const StrongId&,
+                          const StrongId&) = default;  // NOLINT(modernize-use-nullptr)
   friend std::ostream& operator<<(std::ostream& out, const StrongId& id) {
     return out << id.value_;
   }
--- a/src/bamboodock/objects/object_set.cc
+++ b/src/bamboodock/objects/object_set.cc
@@ -91,21 +91,6 @@
   return *this;
 }
 
-ObjectSetBuilder& ObjectSetBuilder::RemoveShare(const ModelId& model, const VersionId& version) {
-  const auto is_removed = [&](const VersionShare& share) { return share.version == version; };
-  for (Model& entry : set_.models_) {
-    if (entry.id != model) continue;
-    std::erase_if(entry.shares, is_removed);
-    double sum = 0;
-    for (const VersionShare& share : entry.shares) sum += share.share.value();
-    for (VersionShare& share : entry.shares) {
-      const double equal = 1.0 / static_cast<double>(entry.shares.size());
-      share.share = Ratio(sum > 0 ? share.share.value() / sum : equal);
-    }
-  }
-  return *this;
-}
-
 ObjectSetBuilder& ObjectSetBuilder::SetDrained(const AvailabilityZoneId& zone, bool drained) {
   for (AvailabilityZone& entry : set_.availability_zones_) {
     if (entry.id == zone) entry.drained = drained;
--- a/src/bamboodock/objects/object_set.h
+++ b/src/bamboodock/objects/object_set.h
@@ -57,9 +57,6 @@
   ObjectSetBuilder& Add(Endpoint endpoint);
   /// Sets the stage of a version; does nothing when it is not in the set.
   ObjectSetBuilder& SetStage(const ModelId& model, const VersionId& version, VersionStage stage);
-  /// Takes a version's share of new sessions and spreads it over the model's other versions in
-  /// proportion. A model without shares takes no new sessions.
-  ObjectSetBuilder& RemoveShare(const ModelId& model, const VersionId& version);
   /// Marks an availability zone drained or back in service.
   ObjectSetBuilder& SetDrained(const AvailabilityZoneId& zone, bool drained);
 
