--- a/src/bamboodock/policy/evidence_counters.h
+++ b/src/bamboodock/policy/evidence_counters.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 
 namespace bamboodock {
--- a/src/bamboodock/policy/quality_table.h
+++ b/src/bamboodock/policy/quality_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <map>
+#include <tuple>
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/policy/quality_estimate.h"
@@ -16,7 +16,9 @@
   /// Whether an earlier step's answer was rejected; such requests are harder.
   bool escalated = false;
 
-  friend auto operator<=>(const QualityKey&, const QualityKey&) = default;
+  friend bool operator<(const QualityKey& a, const QualityKey& b) {
+    return std::tie(a.version, a.kind, a.escalated) < std::tie(b.version, b.kind, b.escalated);
+  }
 };
 
 /// Quality estimates per version and kind, and the share of answers that pass the check.
--- a/test/policy/retry_budget_test.cc
+++ b/test/policy/retry_budget_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "bamboodock/policy/backoff.h"
 
 namespace bamboodock {
