Feed the endpoint choice with attempts sent since the last report

A cold report was also counted only once. Change: the route duty counts attempts since the last report; each cold report holds the ramp down.

--- a/src/bamboodock/command/entry/route_duty.cc
+++ b/src/bamboodock/command/entry/route_duty.cc
@@ -95,6 +95,7 @@
   if (reply.plan) {
     EndpointState& state = endpoints_[reply.plan->endpoint];
     state.in_flight = state.in_flight.Next();
+    state.sent_since_report = state.sent_since_report.Next();
   }
   command.reply->TryPush(std::move(reply));
 }
@@ -133,6 +134,7 @@
     Judge(key, version);
   }
   state.report = std::move(command.report);
+  state.sent_since_report = Concurrency(0);
   state.received = command.received;
   state.heard = true;
 }
@@ -323,6 +325,7 @@
   view.in_flight = state.in_flight;
   if (!state.heard) return view;
   view.reported_load = state.report.in_flight;
+  view.sent_since_report = state.sent_since_report;
   view.report_age = std::chrono::steady_clock::now() - state.received;
   view.limit = state.report.limit;
   view.warm = state.report.warm;
--- a/src/bamboodock/command/entry/route_duty.h
+++ b/src/bamboodock/command/entry/route_duty.h
@@ -81,6 +81,8 @@
  private:
   struct EndpointState {
     Concurrency in_flight;
+    /// Attempts sent since the last report, which does not show them yet.
+    Concurrency sent_since_report;
     SyncRequest report;
     MonotonicTime received;
     bool heard = false;
--- a/src/bamboodock/command/sidecar/admission_duty.cc
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -129,11 +129,14 @@
 }
 
 void AdmissionDuty::Apply(LoadReportCommand& command) {
-  const bool turned_cold = report_.warm && (!command.reachable || !command.warm);
+  const bool cold = !command.reachable || !command.warm;
+  const bool turned_cold = report_.warm && cold;
   report_ = command;
-  if (!turned_cold || !ramp_) return;
-  ramp_->TurnedCold();
-  parts_.timeline.Record(Event::kEndpointCold, RequestId(), parts_.endpoint.value());
+  // Each cold report counts: attempts open at that moment are no evidence of warmth.
+  if (cold && ramp_) ramp_->TurnedCold();
+  if (turned_cold) {
+    parts_.timeline.Record(Event::kEndpointCold, RequestId(), parts_.endpoint.value());
+  }
 }
 
 void AdmissionDuty::Apply(LeaveCommand& /*command*/) { leaving_ = true; }
