Read engine events in blocks that their JSON must still fill

Cause: the CivetWeb client returns only when its buffer is full, so events were read byte by byte; with token probabilities an event has about 300 bytes. Ruled out: larger reads, which wait for the next event. Change: JsonExtent counts the brackets and quotes still open; a read asks for that many bytes, which the event must bring.

--- a/apps/load.cc
+++ b/apps/load.cc
@@ -13,6 +13,7 @@
 DEFINE_uint32(streams, 32, "streams open at the same time");
 DEFINE_uint32(rounds, 4, "streams that each client opens in turn");
 DEFINE_uint32(tokens, 32, "tokens of an answer");
+DEFINE_uint64(first_prompt, 0, "number of the first prompt; runs with other numbers share none");
 
 namespace bamboodock {
 namespace {
@@ -26,6 +27,7 @@
         settings.api_key = FLAGS_api_key;
         settings.model = FLAGS_model;
         settings.tokens = FLAGS_tokens;
+        settings.first_prompt = FLAGS_first_prompt;
         const load::LoadReport report = load::RunLoad(settings, FLAGS_streams, FLAGS_rounds);
         std::cout << load::Describe(FLAGS_name, FLAGS_streams, report) << '\n';
         return report.complete() == report.samples.size() ? 0 : 1;
--- /dev/null
+++ b/src/bamboodock/codec/json_extent.cc
@@ -0,0 +1,33 @@
+#include "bamboodock/codec/json_extent.h"
+
+namespace bamboodock {
+
+void JsonExtent::Feed(char byte) {
+  if (in_string_) {
+    if (escaped_) {
+      escaped_ = false;
+    } else if (byte == '\\') {
+      escaped_ = true;
+    } else if (byte == '"') {
+      in_string_ = false;
+    }
+    return;
+  }
+  switch (byte) {
+    case '"':
+      in_string_ = true;
+      break;
+    case '{':
+    case '[':
+      ++depth_;
+      break;
+    case '}':
+    case ']':
+      if (depth_ > 0) --depth_;
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace bamboodock
--- a/src/bamboodock/load/stream_client.cc
+++ b/src/bamboodock/load/stream_client.cc
@@ -13,7 +13,8 @@
 
 HttpRequest MakeRequest(const StreamSettings& settings, std::uint64_t ordinal) {
   using Json = nlohmann::json;
-  const std::string prompt = "lot " + std::to_string(ordinal) + " of the morning auction";
+  const std::string prompt =
+      "lot " + std::to_string(settings.first_prompt + ordinal) + " of the morning auction";
   HttpRequest request;
   request.method = "POST";
   request.path = "/v1/chat/completions";
--- a/src/bamboodock/load/stream_client.h
+++ b/src/bamboodock/load/stream_client.h
@@ -13,6 +13,7 @@
   std::string api_key;
   std::string model;
   std::uint32_t tokens = 32;
+  std::uint64_t first_prompt = 0;
 };
 
 /// What one stream took.
--- a/src/bamboodock/transport/http_client.cc
+++ b/src/bamboodock/transport/http_client.cc
@@ -2,14 +2,18 @@
 
 #include <civetweb.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
+#include "bamboodock/codec/json_extent.h"
+
 namespace bamboodock {
 namespace {
 
 constexpr std::size_t kErrorSize = 256;
 constexpr std::size_t kReadBlock = 16384;
+constexpr std::size_t kLineBlock = 64;
 
 std::string Encode(const HttpRequest& request, const Address& peer) {
   std::string text = request.method + " " + request.path;
@@ -34,13 +38,21 @@
 
 bool HttpStream::ReadLine(std::string& line) {
   line.clear();
-  char byte = 0;
-  // A longer read would block until the buffer is full, which delays every token of a stream.
-  while (mg_read(connection_, &byte, 1) == 1) {
-    if (byte == '\n') return true;
-    line.push_back(byte);
+  JsonExtent extent;
+  std::array<char, kLineBlock> block{};
+  while (true) {
+    // A read returns only when its buffer is full, so it asks for no more than this line must
+    // still bring: the rest of its JSON text, or one byte.
+    const std::size_t wanted = std::clamp<std::size_t>(extent.least_remaining(), 1, block.size());
+    const int count = mg_read(connection_, block.data(), wanted);
+    if (count <= 0) return false;
+    for (int i = 0; i < count; ++i) {
+      const char byte = block[static_cast<std::size_t>(i)];
+      if (byte == '\n') return true;
+      line.push_back(byte);
+      extent.Feed(byte);
+    }
   }
-  return false;
 }
 
 Result<std::string> HttpStream::ReadAll(Bytes limit) {
