--- /dev/null
+++ b/test/process/publication_test.cc
@@ -0,0 +1,200 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+
+#include "bamboodock/config/config.h"
+#include "process/support/deployment.h"
+
+namespace bamboodock::process_test {
+namespace {
+
+/// Time after an acceptance from which on the old set must not be used.
+constexpr auto kInForce = config::kFreshnessLimit + std::chrono::seconds(2);
+
+/// Sends chats to each entry, one at a time, until it goes.
+class BackgroundLoad {
+ public:
+  explicit BackgroundLoad(const Deployment& deployment) {
+    for (std::size_t i = 0; i < deployment.entries(); ++i) {
+      threads_.emplace_back([this, &deployment, i] {
+        for (int n = 0; !stop_; ++n) {
+          deployment.Chat(i, kModel, "load " + std::to_string(i) + "-" + std::to_string(n));
+        }
+      });
+    }
+  }
+  ~BackgroundLoad() {
+    stop_ = true;
+    for (std::thread& thread : threads_) thread.join();
+  }
+
+ private:
+  std::atomic<bool> stop_{false};
+  std::vector<std::thread> threads_;
+};
+
+std::uint64_t Started(const Deployment& deployment, const char* endpoint) {
+  return deployment.Counter(endpoint, "started");
+}
+
+/// Answered chats out of `count`, sent at the same time.
+int ChatAtOnce(const Deployment& deployment, std::size_t entry, int count) {
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < count; ++i) {
+    threads.emplace_back([&, i] {
+      const Reply reply = deployment.Chat(entry, kModel, "burst " + std::to_string(i));
+      if (reply.status == 200) ++answered;
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  return answered;
+}
+
+}  // namespace
+
+class PublicationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PublicationTest);
+  CPPUNIT_TEST(DrainedZoneGetsNoNewWork);
+  CPPUNIT_TEST(TwoOperatorsPublishAtOnce);
+  CPPUNIT_TEST(CommitAnswerLost);
+  CPPUNIT_TEST(RestartWhileTheStoreIsDown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against work in a drained zone, given by an entry or admitted by a sidecar that was
+  // frozen during the drain and still holds the old set.
+  void DrainedZoneGetsNoNewWork() {
+    Deployment deployment(DeploymentPlan("DrainedZoneGetsNoNewWork", 20700)
+                              .Entries(3)
+                              .Engine("engine-west", "west")
+                              .Engine("engine-mid", "mid")
+                              .Engine("engine-east", "east"));
+    const BackgroundLoad load(deployment);
+    for (const char* name : {"engine-west", "engine-mid", "engine-east"}) {
+      CPPUNIT_ASSERT_MESSAGE(name, WaitFor([&] { return Started(deployment, name) >= 3; }));
+    }
+
+    deployment.entry(2).Freeze();
+    CPPUNIT_ASSERT_EQUAL(200, deployment.Drain(0, "p-2", "west").status);
+    std::this_thread::sleep_for(kInForce);
+    const std::uint64_t west = Started(deployment, "engine-west");
+    deployment.entry(2).Thaw();
+    ChatAtOnce(deployment, 2, 20);
+    CPPUNIT_ASSERT(deployment.AwaitReady(2));
+    CPPUNIT_ASSERT(ChatAtOnce(deployment, 2, 10) > 0);
+    CPPUNIT_ASSERT_EQUAL(west, Started(deployment, "engine-west"));
+
+    deployment.entry(2).Freeze();
+    deployment.sidecar("engine-mid").Freeze();
+    CPPUNIT_ASSERT_EQUAL(200, deployment.Drain(0, "p-3", "mid").status);
+    std::this_thread::sleep_for(kInForce);
+    const std::uint64_t mid = Started(deployment, "engine-mid");
+    deployment.sidecar("engine-mid").Thaw();
+    deployment.entry(2).Thaw();
+    ChatAtOnce(deployment, 2, 20);
+    CPPUNIT_ASSERT(deployment.AwaitReady(2));
+    CPPUNIT_ASSERT(ChatAtOnce(deployment, 2, 10) > 0);
+    CPPUNIT_ASSERT_EQUAL(mid, Started(deployment, "engine-mid"));
+    CPPUNIT_ASSERT_EQUAL(west, Started(deployment, "engine-west"));
+  }
+
+  // Guards against two accepted publications of one epoch, and against a loser that is not told
+  // who won.
+  void TwoOperatorsPublishAtOnce() {
+    Deployment deployment(
+        DeploymentPlan("TwoOperatorsPublishAtOnce", 20800).Entries(3).Engine("engine-1", "west"));
+    // Slow answers make both publishers read the head before either commits.
+    deployment.FailTable("slow", 0, std::chrono::milliseconds(200));
+    std::size_t accepted = 1;
+    bool conflict = false;
+    // When one publisher is so late that the other has finished, both are rightly accepted.
+    for (int round = 0; round < 5 && !conflict; ++round) {
+      const std::string names[] = {"a-" + std::to_string(round), "b-" + std::to_string(round)};
+      Reply replies[2];
+      std::thread other(
+          [&] { replies[1] = deployment.Publish(1, names[1], deployment.objects()); });
+      replies[0] = deployment.Publish(0, names[0], deployment.objects());
+      other.join();
+      for (int i = 0; i < 2; ++i) {
+        if (replies[i].status == 200) {
+          ++accepted;
+          continue;
+        }
+        conflict = true;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(replies[i].body, 409, replies[i].status);
+        CPPUNIT_ASSERT_EQUAL(200, replies[1 - i].status);
+        CPPUNIT_ASSERT_EQUAL(names[1 - i], replies[i].Json().at("winner").get<std::string>());
+      }
+    }
+    CPPUNIT_ASSERT(conflict);
+    deployment.FailTable("none");
+    CPPUNIT_ASSERT_EQUAL(accepted, deployment.Rows("publications/").size());
+    for (std::size_t i = 0; i < deployment.entries(); ++i) {
+      CPPUNIT_ASSERT(WaitFor([&] { return deployment.Status(i).at("epoch") == accepted; }));
+    }
+  }
+
+  // Guards against a publication that took effect and is reported as failed, or that takes effect
+  // twice when the operator repeats it.
+  void CommitAnswerLost() {
+    Deployment deployment(DeploymentPlan("CommitAnswerLost", 20900).Engine("engine-1", "west"));
+    deployment.FailTable("lose_answer", 1);
+    const Reply first = deployment.Publish(0, "p-2", deployment.objects());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(first.body, 200, first.status);
+    CPPUNIT_ASSERT_EQUAL(2, first.Json().at("epoch").get<int>());
+    for (std::size_t i = 0; i < deployment.entries(); ++i) {
+      const Reply repeat = deployment.Publish(i, "p-2", deployment.objects());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(repeat.body, 200, repeat.status);
+      CPPUNIT_ASSERT_EQUAL(2, repeat.Json().at("epoch").get<int>());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, deployment.Rows("publications/").size());
+    CPPUNIT_ASSERT_EQUAL(2, deployment.Rows("head").at(0).at("epoch").get<int>());
+  }
+
+  // Guards against restarted witnesses that attest an epoch they have forgotten about: an entry and
+  // a sidecar that were frozen during a withdrawal would go on with the withdrawn version.
+  void RestartWhileTheStoreIsDown() {
+    Deployment deployment(DeploymentPlan("RestartWhileTheStoreIsDown", 21000)
+                              .Entries(3)
+                              .LargeShare(Ratio(0.5))
+                              .Engine("engine-1", "west"));
+    const std::string withdrawn = std::string(kModel) + "@" + kSmall;
+    CPPUNIT_ASSERT_EQUAL(200, deployment.Chat(2, withdrawn, "before").status);
+    deployment.entry(2).Freeze();
+    deployment.sidecar("engine-1").Freeze();
+    const Reply withdrawal = deployment.Withdraw(0, "p-2", kSmall);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(withdrawal.body, 200, withdrawal.status);
+    deployment.FailTable("down");
+    for (std::size_t i : {0, 1}) {
+      deployment.entry(i).Kill();
+      deployment.StartEntry(i);
+    }
+    std::this_thread::sleep_for(kInForce);
+    const std::uint64_t started = Started(deployment, "engine-1");
+    deployment.entry(2).Thaw();
+    deployment.sidecar("engine-1").Thaw();
+    const auto until = std::chrono::steady_clock::now() + kInForce;
+    while (std::chrono::steady_clock::now() < until) {
+      for (std::size_t i = 0; i < deployment.entries(); ++i) {
+        const Reply reply = deployment.Chat(i, withdrawn, "during");
+        CPPUNIT_ASSERT_MESSAGE(reply.body, reply.status != 200);
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(started, Started(deployment, "engine-1"));
+
+    deployment.FailTable("none");
+    for (std::size_t i = 0; i < deployment.entries(); ++i) {
+      CPPUNIT_ASSERT(deployment.AwaitReady(i));
+      CPPUNIT_ASSERT_EQUAL(std::string("version_withdrawn"),
+                           deployment.Chat(i, withdrawn, "after").ErrorType());
+      // The sidecar regains its freshness from an entry, at its next sync.
+      CPPUNIT_ASSERT(WaitFor([&] { return deployment.Chat(i, kModel, "after").status == 200; }));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PublicationTest);
+
+}  // namespace bamboodock::process_test
--- /dev/null
+++ b/test/process/support/child_process.cc
@@ -0,0 +1,70 @@
+#include "process/support/child_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace bamboodock::process_test {
+namespace {
+
+constexpr std::chrono::milliseconds kPoll{10};
+constexpr mode_t kLogMode = 0644;
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
+                           const std::string& log) {
+  std::vector<std::string> words{program};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> argv;
+  for (std::string& word : words) argv.push_back(word.data());
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) throw std::runtime_error("cannot start " + program);
+}
+
+ChildProcess::~ChildProcess() { Kill(); }
+
+void ChildProcess::Kill() {
+  if (pid_ < 0) return;
+  Signal(SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
+void ChildProcess::Freeze() {
+  Signal(SIGSTOP);
+  waitpid(pid_, nullptr, WUNTRACED);
+}
+
+void ChildProcess::Thaw() { Signal(SIGCONT); }
+
+void ChildProcess::Terminate() { Signal(SIGTERM); }
+
+std::optional<int> ChildProcess::Wait(Duration limit) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  int status = 0;
+  while (waitpid(pid_, &status, WNOHANG) != pid_) {
+    if (std::chrono::steady_clock::now() >= deadline) return std::nullopt;
+    std::this_thread::sleep_for(kPoll);
+  }
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void ChildProcess::Signal(int number) const {
+  if (pid_ > 0) kill(pid_, number);
+}
+
+}  // namespace bamboodock::process_test
--- /dev/null
+++ b/test/process/support/deployment.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bamboodock/objects/object_set.h"
+#include "process/support/child_process.h"
+#include "process/support/http.h"
+
+namespace bamboodock::process_test {
+
+inline constexpr const char* kModel = "text";
+inline constexpr const char* kSmall = "text-small";
+inline constexpr const char* kLarge = "text-large";
+inline constexpr const char* kCascade = "text-auto";
+inline constexpr const char* kService = "labels";
+
+/// Endpoint of a deployment and the behaviour of its stand-in.
+struct EndpointPlan {
+  std::string name;
+  std::string zone;
+  EndpointKind kind = EndpointKind::kEngine;
+  /// Flags of the stand-in beyond role, address and versions.
+  std::vector<std::string> flags;
+  Concurrency cold_limit{16};
+  Concurrency warm_limit{64};
+};
+
+/// What a test deploys.
+class DeploymentPlan {
+ public:
+  /// @param name Name of the test, for the folder of the logs.
+  /// @param base_port First of the 100 ports that the test uses.
+  DeploymentPlan(std::string name, std::uint16_t base_port)
+      : name_(std::move(name)), base_port_(base_port) {}
+
+  DeploymentPlan& Entries(std::size_t count);
+  DeploymentPlan& Engine(std::string name, std::string zone, std::vector<std::string> flags = {});
+  DeploymentPlan& Service(std::string name, std::string zone, std::vector<std::string> flags = {});
+  /// Limits of the endpoint added last.
+  DeploymentPlan& Limits(Concurrency cold, Concurrency warm);
+  /// Share of new sessions that go to the large version; 0 at first.
+  DeploymentPlan& LargeShare(Ratio share);
+  /// Quality of the small version at the engines.
+  DeploymentPlan& SmallQuality(Ratio quality);
+
+ private:
+  friend class Deployment;
+
+  std::string name_;
+  std::uint16_t base_port_;
+  std::size_t entries_ = 2;
+  std::vector<EndpointPlan> endpoints_;
+  Ratio large_share_{0.0};
+  Ratio small_quality_{1.0};
+};
+
+/// Platform, endpoints with their sidecars and entries, all as processes of this build.
+class Deployment {
+ public:
+  /// Starts everything, publishes the set as "p-1" and waits until all entries serve it.
+  explicit Deployment(DeploymentPlan plan);
+
+  Address caller(std::size_t entry) const { return At(10 + (4 * entry)); }
+  Address operators(std::size_t entry) const { return At(11 + (4 * entry)); }
+  Address platform() const { return At(0); }
+  /// The stand-in behind an endpoint.
+  Address upstream(const std::string& endpoint) const;
+  std::size_t entries() const { return plan_.entries_; }
+
+  ChildProcess& entry(std::size_t index) { return *processes_.at("entry-" + Number(index)); }
+  ChildProcess& sidecar(const std::string& endpoint) { return *processes_.at(endpoint); }
+  /// Starts a process again with the settings it had.
+  void StartEntry(std::size_t index);
+  void StartSidecar(const std::string& endpoint);
+  /// Waits until an entry serves and has heard of every endpoint at its own epoch.
+  bool AwaitReady(std::size_t entry) const;
+
+  Reply Chat(std::size_t entry, const std::string& model, const std::string& prompt,
+             Tokens length = Tokens(4), std::vector<HttpHeader> headers = {}) const;
+  HttpRequest StreamRequest(const std::string& prompt, Tokens length) const;
+  HttpRequest IssueRequest(const std::string& key) const;
+  Reply Issue(std::size_t entry, const std::string& key) const;
+
+  Reply Publish(std::size_t entry, const std::string& publication, const ObjectSet& set) const;
+  Reply Drain(std::size_t entry, const std::string& publication, const std::string& zone) const;
+  Reply Withdraw(std::size_t entry, const std::string& publication, const char* version) const;
+  const ObjectSet& objects() const { return *objects_; }
+
+  /// Sets a fault of the platform's tables.
+  void FailTable(const char* mode, std::uint64_t count = 0, std::chrono::milliseconds delay = {});
+  void FailEndpoint(const std::string& endpoint, const nlohmann::json& fault);
+
+  /// Counter of a stand-in.
+  std::uint64_t Counter(const std::string& endpoint, const char* name) const;
+  /// Runs of a call over all services.
+  std::uint64_t Runs(const std::string& key) const;
+  /// Requests that an endpoint works on now.
+  std::uint64_t Running(const std::string& endpoint) const;
+  /// Decoded values of the table rows under a prefix.
+  std::vector<nlohmann::json> Rows(const std::string& prefix) const;
+  nlohmann::json Status(std::size_t entry) const;
+
+ private:
+  static std::string Number(std::size_t index) { return std::to_string(index + 1); }
+  Address At(std::size_t offset) const;
+  std::string Text(std::size_t offset) const { return At(offset).ToString(); }
+  std::size_t Offset(const std::string& endpoint) const;
+  Ref<const ObjectSet> MakeObjects() const;
+  void StartEndpoint(const EndpointPlan& endpoint);
+  void Spawn(const std::string& name, const std::string& program,
+             std::vector<std::string> arguments);
+  void AwaitHealth(const Address& address, const std::string& name) const;
+
+  DeploymentPlan plan_;
+  std::string log_folder_;
+  Ref<const ObjectSet> objects_;
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
+};
+
+}  // namespace bamboodock::process_test
