Keep the limit of an endpoint that reports cold

Cause: the admission ramp took every answer whose first token came in time as evidence of a warm endpoint. A cold engine under little load answers in time, so the limit rose above its cold limit while its load report still said cold, and the engine failed requests. The report itself lowers the limit only on the change from warm to cold. Change: while the last load report says cold, a good answer gives its place back without evidence. Failures and slow first tokens still lower the limit, and an endpoint that cannot be reached for a report is judged as before. Conclusion: the limit now follows the evidence of both signals. An endpoint that reports cold for good stays at its cold limit.

--- a/src/bamboodock/command/sidecar/admission_duty.cc
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -115,12 +115,14 @@
 void AdmissionDuty::Apply(WorkOutcome& outcome) {
   registry_.Finish(outcome.attempt);
   if (open_.erase(outcome.attempt) == 0) return;
-  if (outcome.cancelled) {
+  // A cold endpoint answers in time while it has little load, which is no evidence that it is warm.
+  const bool reported_cold = report_.reachable && !report_.warm;
+  if (outcome.cancelled || (outcome.ok && reported_cold)) {
     ramp_->Cancelled();
   } else {
     ramp_->Finished(outcome.first_token, outcome.ok);
-    first_token_.Add(outcome.first_token);
   }
+  if (!outcome.cancelled) first_token_.Add(outcome.first_token);
   if (outcome.version.empty() || outcome.cancelled) return;
   EvidenceCounters& evidence = Evidence(outcome.model, outcome.version);
   ++evidence.answers;
