Satisfy the linter in the process tests

Cause: clang-tidy reported 4 places in files of test/process/. Change: reserve capacity before loops, pass arguments by reference. Conclusion: a whole run and the linter over all files are still due.

--- a/test/process/publication_test.cc
+++ b/test/process/publication_test.cc
@@ -15,6 +15,7 @@
 class BackgroundLoad {
  public:
   explicit BackgroundLoad(const Deployment& deployment) {
+    threads_.reserve(deployment.entries());
     for (std::size_t i = 0; i < deployment.entries(); ++i) {
       threads_.emplace_back([this, &deployment, i] {
         for (int n = 0; !stop_; ++n) {
@@ -41,6 +42,7 @@
 int ChatAtOnce(const Deployment& deployment, std::size_t entry, int count) {
   std::atomic<int> answered = 0;
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     threads.emplace_back([&, i] {
       const Reply reply = deployment.Chat(entry, kModel, "burst " + std::to_string(i));
--- a/test/process/support/child_process.cc
+++ b/test/process/support/child_process.cc
@@ -22,6 +22,7 @@
   std::vector<std::string> words{program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
--- a/test/process/support/deployment.cc
+++ b/test/process/support/deployment.cc
@@ -188,7 +188,7 @@
 }
 
 void Deployment::Spawn(const std::string& name, const std::string& program,
-                       std::vector<std::string> arguments) {
+                       const std::vector<std::string>& arguments) {
   processes_.erase(name);
   processes_[name] = std::make_unique<ChildProcess>(BinaryFolder() + "bamboodock-" + program,
                                                     arguments, log_folder_ + name + ".log");
--- a/test/process/support/deployment.h
+++ b/test/process/support/deployment.h
@@ -111,7 +111,7 @@
   Ref<const ObjectSet> MakeObjects() const;
   void StartEndpoint(const EndpointPlan& endpoint);
   void Spawn(const std::string& name, const std::string& program,
-             std::vector<std::string> arguments);
+             const std::vector<std::string>& arguments);
   void AwaitHealth(const Address& address, const std::string& name) const;
 
   DeploymentPlan plan_;
