Write a message to a sidecar in one piece

Cause: at 32 streams the 95th percentile to the first token was 46 ms above direct. CivetWeb's client writes a frame's header and payload separately on a socket without TCP_NODELAY, so the payload waits 40 ms for the delayed acknowledgement of the header on a connection that is used again. Ruled out: the processor (idle host), the engine (direct runs beside it). Change: the frame is built as one block and written once.

--- a/src/bamboodock/transport/message_channel.cc
+++ b/src/bamboodock/transport/message_channel.cc
@@ -3,9 +3,12 @@
 #include <civetweb.h>
 
 #include <array>
+#include <cstring>
+#include <random>
 #include <utility>
 
 #include "bamboodock/config/config.h"
+#include "bamboodock/transport/internal/websocket_frame.h"
 
 namespace bamboodock {
 namespace {
@@ -15,6 +18,14 @@
 constexpr int kWebSocketClose = 8;
 constexpr std::size_t kErrorSize = 256;
 
+internal::WebSocketMask RandomMask() {
+  thread_local std::mt19937 engine{std::random_device{}()};
+  const std::uint32_t bits = engine();
+  internal::WebSocketMask mask{};
+  std::memcpy(mask.data(), &bits, mask.size());
+  return mask;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<MessageChannel>> MessageChannel::Connect(const Address& peer,
@@ -47,8 +58,11 @@
 
 bool MessageChannel::Send(std::string_view message) {
   if (!open_) return false;
-  return mg_websocket_client_write(connection_, kWebSocketBinary, message.data(), message.size()) >
-         0;
+  const std::string frame = internal::EncodeClientFrame(message, RandomMask());
+  mg_lock_connection(connection_);
+  const int written = mg_write(connection_, frame.data(), frame.size());
+  mg_unlock_connection(connection_);
+  return written > 0;
 }
 
 int MessageChannel::OnData(mg_connection* /*connection*/, int bits, char* data, std::size_t size,
