--- a/src/bamboodock/command/config/config_duty.cc
+++ b/src/bamboodock/command/config/config_duty.cc
@@ -17,7 +17,8 @@
   return verdict == FreshnessVerdict::kFresh || verdict == FreshnessVerdict::kFreshByWitnesses;
 }
 
-ConfigDuty::ConfigDuty(HostId self, std::vector<HostId> witnesses, TimelineDuty& timeline)
+ConfigDuty::ConfigDuty(const HostId& self, const std::vector<HostId>& witnesses,
+                       TimelineDuty& timeline)
     : timeline_(timeline),
       freshness_(config::kFreshnessLimit, witnesses),
       witness_(self, witnesses, kMostPending),
--- a/src/bamboodock/command/config/config_duty.h
+++ b/src/bamboodock/command/config/config_duty.h
@@ -63,7 +63,7 @@
  public:
   /// @param self Host of this process; empty at a sidecar, which is never a witness.
   /// @param witnesses All witnesses; empty at a sidecar.
-  ConfigDuty(HostId self, std::vector<HostId> witnesses, TimelineDuty& timeline);
+  ConfigDuty(const HostId& self, const std::vector<HostId>& witnesses, TimelineDuty& timeline);
   ~ConfigDuty() { Stop(); }
 
   Ref<const ConfigSnapshot> snapshot() const { return snapshot_.Load(); }
--- a/src/bamboodock/command/entry/call_command.cc
+++ b/src/bamboodock/command/entry/call_command.cc
@@ -81,7 +81,8 @@
 
 Result<StepInput> CallCommand::Input(const HttpRequest& request,
                                      const ClientAccountId& account) const {
-  const std::string_view rest = std::string_view(request.path).substr(kServicesPrefix.size());
+  const std::string_view path = request.path;
+  const std::string_view rest = path.substr(kServicesPrefix.size());
   const std::size_t slash = rest.find('/');
   StepInput input;
   input.kind = WorkKind::kCall;
--- a/src/bamboodock/command/entry/route_duty.cc
+++ b/src/bamboodock/command/entry/route_duty.cc
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-RouteDuty::RouteDuty(Parts parts)
+RouteDuty::RouteDuty(const Parts& parts)
     : parts_(parts),
       random_(parts.seed),
       retries_(kRetryShare, kRetryReserve),
@@ -306,6 +306,7 @@
 const Endpoint* RouteDuty::ChooseEndpoint(const std::vector<const Endpoint*>& eligible,
                                           const RouteGoal& goal) {
   std::vector<EndpointView> views;
+  views.reserve(eligible.size());
   for (const Endpoint* endpoint : eligible) views.push_back(ViewOf(*endpoint));
   const EndpointQuery query{goal.affinity, parts_.local_zone};
   const std::optional<std::size_t> chosen = endpoint_chooser_->Choose(views, query, random_);
--- a/src/bamboodock/command/entry/route_duty.h
+++ b/src/bamboodock/command/entry/route_duty.h
@@ -66,7 +66,7 @@
     std::uint64_t seed;
   };
 
-  explicit RouteDuty(Parts parts);
+  explicit RouteDuty(const Parts& parts);
   ~RouteDuty() { Stop(); }
 
   Ref<const RouteSnapshot> snapshot() const { return snapshot_.Load(); }
--- a/src/bamboodock/command/sidecar/admission_duty.cc
+++ b/src/bamboodock/command/sidecar/admission_duty.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-AdmissionDuty::AdmissionDuty(Parts parts)
+AdmissionDuty::AdmissionDuty(const Parts& parts)
     : parts_(parts),
       registry_(parts.incarnation, config::kRegistryCapacity, config::kAttemptMargin) {
   Publish();
@@ -169,8 +169,9 @@
     registry_.Withdraw(attempt, code);
     Refuse(command, Failure{code, detail, RunState::kNotRun, kRefusalRetry});
   };
-  if (!ramp_->TryAdmit())
+  if (!ramp_->TryAdmit()) {
     return refuse(ResultCode::kEndpointAtLimit, "the endpoint is at its limit");
+  }
   if (!parts_.ledger.TryReserve()) {
     ramp_->Cancelled();
     return refuse(ResultCode::kLedgerFull, "too many billing records are not confirmed");
--- a/src/bamboodock/command/sidecar/admission_duty.h
+++ b/src/bamboodock/command/sidecar/admission_duty.h
@@ -97,7 +97,7 @@
     WorkQueue& claims;
   };
 
-  explicit AdmissionDuty(Parts parts);
+  explicit AdmissionDuty(const Parts& parts);
   ~AdmissionDuty() { Stop(); }
 
   Ref<const AdmissionSnapshot> snapshot() const { return snapshot_.Load(); }
--- a/src/bamboodock/command/sidecar/claim_duty.h
+++ b/src/bamboodock/command/sidecar/claim_duty.h
@@ -32,8 +32,8 @@
     WorkQueue& runners;
   };
 
-  explicit ClaimDuty(Parts parts) : parts_(parts) {}
-  ~ClaimDuty() { Stop(); }
+  explicit ClaimDuty(const Parts& parts) : parts_(parts) {}
+  ~ClaimDuty() override { Stop(); }
 
   /// Sets the receiver of outcomes; must be called before `Start()`.
   void SetAdmission(AdmissionDuty& admission) { admission_ = &admission; }
--- a/src/bamboodock/command/sidecar/endpoint_callers.cc
+++ b/src/bamboodock/command/sidecar/endpoint_callers.cc
@@ -53,7 +53,8 @@
       }
       if (!line.empty() && line.back() == '\r') line.pop_back();
       if (line.rfind(kDataPrefix, 0) != 0) continue;
-      const std::string_view data = std::string_view(line).substr(kDataPrefix.size());
+      const std::string_view data(line.data() + kDataPrefix.size(),
+                                  line.size() - kDataPrefix.size());
       if (data == kDoneMark) return true;
       if (!Take(data)) return false;
     }
--- a/src/bamboodock/command/sidecar/sync_duty.h
+++ b/src/bamboodock/command/sidecar/sync_duty.h
@@ -21,7 +21,7 @@
     TimelineDuty& timeline;
   };
 
-  SyncDuty(Parts parts, Address entry) : parts_(parts), client_(std::move(entry)) {}
+  SyncDuty(const Parts& parts, Address entry) : parts_(parts), client_(std::move(entry)) {}
   ~SyncDuty() { Stop(); }
 
   void Handle(SyncNowCommand& command);
--- a/src/bamboodock/experiment/experiments.cc
+++ b/src/bamboodock/experiment/experiments.cc
@@ -26,6 +26,7 @@
 
 std::vector<std::string_view> ExperimentNames() {
   std::vector<std::string_view> names;
+  names.reserve(kRows.size());
   for (const ExperimentRow& row : kRows) names.push_back(row.name);
   return names;
 }
--- a/src/bamboodock/observe/latency_summary.cc
+++ b/src/bamboodock/observe/latency_summary.cc
@@ -26,8 +26,9 @@
   const std::size_t count = boost::accumulators::count(statistics_);
   if (count >= kLeastSamples) {
     for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-      text += fmt::format("{}{{{}{}quantile=\"{}\"}} {:.6f}\n", name, labels, separator,
-                          kQuantiles.at(i), boost::accumulators::extended_p_square(statistics_)[i]);
+      text += fmt::format(
+          "{}{{{}{}quantile=\"{}\"}} {:.6f}\n", name, labels, separator, kQuantiles.at(i),
+          boost::accumulators::extended_p_square(statistics_)[static_cast<std::ptrdiff_t>(i)]);
     }
   }
   const std::string braces = labels.empty() ? "" : "{" + labels + "}";
--- a/src/bamboodock/transport/address.h
+++ b/src/bamboodock/transport/address.h
@@ -14,7 +14,8 @@
   std::uint16_t port = 0;
 
   std::string ToString() const;
-  friend auto operator<=>(const Address&, const Address&) = default;
+  friend auto operator<=>(const Address&,
+                          const Address&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Parses "127.0.0.1:8080"; fails with `kBadSetting` on anything but an IPv4 number and a port.
