Store the result of a claimed call before its answer ends

Ruled out: a second run (the counter stayed 1); the wait of the test (the log shows the repeat 10 ms after the answer). Change: the end mark of a claimed call follows the write of its row, or the failure of that write; four lint findings in tests are settled. Conclusion: a caller that has an answer gets it again. A non-idempotent call takes one store write longer.

--- a/src/bamboodock/command/sidecar/claim_duty.cc
+++ b/src/bamboodock/command/sidecar/claim_duty.cc
@@ -82,6 +82,7 @@
         parts_.timeline.Record(Event::kClaimFailed, command.start.request, failure.detail);
         return false;
       });
+  command.log->Finish(std::move(command.end));
 }
 
 ClaimRow ClaimDuty::RowFor(const AttemptStartMessage& start) const {
--- a/src/bamboodock/command/sidecar/claim_duty.h
+++ b/src/bamboodock/command/sidecar/claim_duty.h
@@ -13,10 +13,16 @@
 namespace bamboodock {
 
 /// A claimed call has its answer, which is stored for repeats of the key.
+///
+/// The answer ends only after the row is stored or the store has failed, so that a caller who has
+/// the answer and repeats the key gets it again.
 struct FinishClaimCommand {
   AttemptStartMessage start;
   int status = 0;
   std::string body;
+  Ref<AnswerLog> log;
+  /// Encoded end mark of the answer.
+  std::string end;
 };
 
 using ClaimCommand = std::variant<Work, FinishClaimCommand>;
--- a/src/bamboodock/command/sidecar/runner_pool.cc
+++ b/src/bamboodock/command/sidecar/runner_pool.cc
@@ -58,19 +58,24 @@
     EndMessage end{answer.chunks, answer.prompt,     answer.completion,
                    cost,          answer.confidence, parts_.timeline.clock().Tick()};
     parts_.timeline.Record(Event::kAttemptFinished, start.request, start.attempt.value());
-    work.log->Finish(EncodeMessage(SidecarMessage(end)));
+    FinishAnswer(work, answer, EncodeMessage(SidecarMessage(end)));
   } else {
     work.log->Finish(EncodeMessage(SidecarMessage(RefusedMessage{answer.failure, Epoch()})));
     parts_.timeline.Record(Event::kAttemptFailed, start.request, answer.failure.detail);
   }
-  if (work.needs_claim && answer.ok) {
-    claims_->PostUntil(FinishClaimCommand{start, answer.status, answer.body}, InGraceLimit());
-  }
   WorkOutcome outcome{start.attempt, start.model,      start.version,
                       answer.ok,     answer.cancelled, answer.first_token};
   admission_->PostUntil(std::move(outcome), InGraceLimit());
 }
 
+void RunnerPool::FinishAnswer(const Work& work, const EndpointAnswer& answer, std::string end) {
+  if (work.needs_claim) {
+    FinishClaimCommand command{work.start, answer.status, answer.body, work.log, end};
+    if (claims_->PostUntil(std::move(command), InGraceLimit())) return;
+  }
+  work.log->Finish(std::move(end));
+}
+
 CostMicros RunnerPool::Bill(const Work& work, const EndpointAnswer& answer) {
   const AttemptStartMessage& start = work.start;
   const CostMicros cost = work.version.Cost(answer.prompt, answer.completion);
--- a/src/bamboodock/command/sidecar/runner_pool.h
+++ b/src/bamboodock/command/sidecar/runner_pool.h
@@ -71,6 +71,8 @@
   void Run();
   void Execute(Work& work);
   void Finish(const Work& work, const EndpointAnswer& answer);
+  /// Ends the answer; that of a claimed call ends when its claim row is stored.
+  void FinishAnswer(const Work& work, const EndpointAnswer& answer, std::string end);
   /// Records the bill, or gives the reservation back when nothing ran.
   CostMicros Bill(const Work& work, const EndpointAnswer& answer);
 
--- a/test/policy/quality_table_test.cc
+++ b/test/policy/quality_table_test.cc
@@ -16,30 +16,30 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override { table_.SetPrior(kKey, Ratio(0.9)); }
+  void setUp() override { table_.SetPrior(key_, Ratio(0.9)); }
 
   // Guards against a stated quality that live ratings never correct.
   void RatingsOutweighPrior() {
-    const double before = table_.QualityOf(kKey, now_).deviation.value();
-    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(i % 2 == 0 ? 1.0 : 0.0), now_);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.54, table_.QualityOf(kKey, now_).mean.value(), 0.02);
-    CPPUNIT_ASSERT(table_.QualityOf(kKey, now_).deviation.value() < before);
+    const double before = table_.QualityOf(key_, now_).deviation.value();
+    for (int i = 0; i < 200; ++i) table_.Rate(key_, Ratio(i % 2 == 0 ? 1.0 : 0.0), now_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.54, table_.QualityOf(key_, now_).mean.value(), 0.02);
+    CPPUNIT_ASSERT(table_.QualityOf(key_, now_).deviation.value() < before);
   }
 
   // Guards against a jump back to the prior while the rating service is down.
   void WithoutRatingsMeanStaysAndUncertaintyGrows() {
-    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(1.0), now_);
-    const Quality before = table_.QualityOf(kKey, now_);
-    const Quality after = table_.QualityOf(kKey, now_ + std::chrono::hours(72));
+    for (int i = 0; i < 200; ++i) table_.Rate(key_, Ratio(1.0), now_);
+    const Quality before = table_.QualityOf(key_, now_);
+    const Quality after = table_.QualityOf(key_, now_ + std::chrono::hours(72));
     CPPUNIT_ASSERT_EQUAL(before.mean, after.mean);
     CPPUNIT_ASSERT(after.deviation > before.deviation);
   }
 
   // Guards against a publication that erases what was learnt.
   void NewPriorKeepsEvidence() {
-    for (int i = 0; i < 200; ++i) table_.Rate(kKey, Ratio(0.0), now_);
-    table_.SetPrior(kKey, Ratio(0.9));
-    CPPUNIT_ASSERT(table_.QualityOf(kKey, now_).mean < Ratio(0.2));
+    for (int i = 0; i < 200; ++i) table_.Rate(key_, Ratio(0.0), now_);
+    table_.SetPrior(key_, Ratio(0.9));
+    CPPUNIT_ASSERT(table_.QualityOf(key_, now_).mean < Ratio(0.2));
   }
 
   // Guards against delivery of an empty or unsure answer, and against a second call for every
@@ -57,7 +57,7 @@
   }
 
  private:
-  const QualityKey kKey{VersionId("v"), RequestKind("k"), false};
+  const QualityKey key_{VersionId("v"), RequestKind("k"), false};
   QualityTable table_;
   MonotonicTime now_{std::chrono::hours(1)};
 };
--- a/test/policy/zone_ramp_test.cc
+++ b/test/policy/zone_ramp_test.cc
@@ -29,7 +29,8 @@
 
   // Guards against refusal of urgent requests while less urgent ones are served.
   void LowPriorityIsShedFirst() {
-    for (double load = 0; load < 1.5; load += 0.01) {
+    for (int percent = 0; percent < 150; ++percent) {
+      const double load = percent / 100.0;
       for (int priority = 0; priority < 6; ++priority) {
         CPPUNIT_ASSERT(Shedding::Refusal(priority, Ratio(load)) <=
                        Shedding::Refusal(priority + 1, Ratio(load)));
--- a/test/process/routing_test.cc
+++ b/test/process/routing_test.cc
@@ -25,6 +25,7 @@
                               .Limits(Concurrency(kColdLimit), Concurrency(32)));
     std::atomic<int> answered = 0;
     std::vector<std::thread> callers;
+    callers.reserve(18);
     for (int caller = 0; caller < 18; ++caller) {
       callers.emplace_back([&, caller] {
         for (int i = 0; i < 15; ++i) {
--- a/test/process/stream_test.cc
+++ b/test/process/stream_test.cc
@@ -100,6 +100,7 @@
                                                    deployment.StreamRequest(prompt(i), length)));
     }
     std::vector<StreamedAnswer> seen;
+    seen.reserve(open.size());
     for (const auto& request : open) seen.push_back(ReadStream(request->reply().body));
     for (std::size_t i = 0; i < kStreams; ++i) {
       const StreamedAnswer own = OwnAnswer(deployment, "engine-1", prompt(i), length);
