Keep sessions on their version at every entry; count prompt work as load

Change: entries tell each other which sessions ran on the old version; the end of a stop is one step on the network thread; prompt tokens that wait count as load, weighted by price.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <sstream>
 
 #include "bamboodock/command/process/address_list.h"
 #include "bamboodock/command/process/control_signals.h"
@@ -32,8 +33,9 @@
 DEFINE_uint32(revoke_ms, 5000, "time within which a removed API key is refused everywhere");
 DEFINE_double(session_s, 5, "longest pause between two requests of one session in seconds");
 DEFINE_double(grace_s, 8, "longest time that a stop may take in seconds");
-DEFINE_uint32(least_confidence, 65,
-              "confidence (0 to 100) below which an answer of the smallest model is dropped");
+DEFINE_string(least_confidence, "65",
+              "confidence (0 to 100) below which an answer of the smallest model is dropped; one "
+              "for each urgency of routes from 0 on, the last one for all further ones");
 DEFINE_bool(metrics, true, "serve metrics on the second internal port");
 DEFINE_string(log_level, "info", "debug, info, warn or error");
 DEFINE_bool(check, false, "check the settings and end");
@@ -74,6 +76,21 @@
   return port;
 }
 
+Result<std::vector<std::uint32_t>> ReadConfidences() {
+  std::vector<std::uint32_t> values;
+  std::istringstream parts(FLAGS_least_confidence);
+  for (std::string part; std::getline(parts, part, ',');) {
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), value);
+    if (error != std::errc{} || end != part.data() + part.size() || value > 100) {
+      return Raise(ResultCode::kBadSetting, "--least_confidence: '" + part + "' is not 0 to 100");
+    }
+    values.push_back(value);
+  }
+  if (values.empty()) return Raise(ResultCode::kBadSetting, "--least_confidence is empty");
+  return values;
+}
+
 RouterLimits ReadLimits() {
   RouterLimits limits;
   limits.repeats = {Ratio(FLAGS_repeat_ratio), FLAGS_repeat_extra,
@@ -83,7 +100,6 @@
   limits.cold_tolerance = FLAGS_cold_tolerance;
   limits.key_freshness = Seconds(kKeyFreshnessPart * FLAGS_revoke_ms / 1000);
   limits.session_time = Seconds(FLAGS_session_s);
-  limits.least_confidence = FLAGS_least_confidence;
   return limits;
 }
 
@@ -99,6 +115,7 @@
   settings.gossip = {FLAGS_ip, port};
   if (FLAGS_metrics) settings.metrics = Address{FLAGS_ip, static_cast<std::uint16_t>(port + 1)};
   settings.limits = ReadLimits();
+  BOOST_LEAF_ASSIGN(settings.limits.least_confidence, ReadConfidences());
   settings.grace = Seconds(FLAGS_grace_s);
   return settings;
 }
--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -25,6 +25,7 @@
   evidence.answers.errors = json.at(3).get<std::uint64_t>();
   evidence.answers.slow = json.at(4).get<std::uint64_t>();
   evidence.open_at_old = json.at(5).get<std::uint64_t>();
+  for (const Json& hash : json.at(6)) evidence.held_back.emplace_back(hash.get<std::uint32_t>());
   return evidence;
 }
 
--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -25,7 +25,7 @@
 CallerConnection::~CallerConnection() { --services_.counters.open_connections; }
 
 void CallerConnection::CloseIfIdle() {
-  if (!busy_ && !reader_.HasBytes()) stream_.close();
+  if (!busy()) stream_.close();
 }
 
 asio::awaitable<void> CallerConnection::Run(Ref<CallerConnection> self) {
--- a/src/bamboodock/command/router/caller_connection.h
+++ b/src/bamboodock/command/router/caller_connection.h
@@ -20,8 +20,8 @@
   static asio::awaitable<void> Run(Ref<CallerConnection> self);
   /// Closes the connection if no request is being read or served.
   void CloseIfIdle();
-  void Close() { stream_.close(); }
-  bool busy() const { return busy_; }
+  /// Whether a request is being read or served.
+  bool busy() const { return busy_ || reader_.HasBytes(); }
 
  private:
   asio::awaitable<void> ServeAll();
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kRegistrationLag{1200};
 /// Weight of one report halves in this time, since other entries' requests end meanwhile.
 constexpr std::chrono::duration<double> kReportHalfLife{1.5};
+/// Prompt tokens of the dearest model that hold an engine up as long as another request does.
+constexpr double kWorkPerRequest = 2000;
 /// Load up to which an endpoint with the prompt's shared part in its cache is preferred: so many
 /// times the mean, and so many requests more.
 constexpr double kAffinityFactor = 1.3;
@@ -103,7 +105,8 @@
 
 double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
   const std::chrono::duration<double> age = now - endpoint.reported;
-  return endpoint.in_flight + endpoint.others * std::exp2(-age / kReportHalfLife);
+  return endpoint.in_flight + endpoint.others * std::exp2(-age / kReportHalfLife) +
+         static_cast<double>(endpoint.pending_work) / kWorkPerRequest;
 }
 
 double EndpointPool::Score(PooledEndpoint& endpoint, MonotonicTime now) const {
@@ -163,11 +166,33 @@
       [&](PooledEndpoint* a, PooledEndpoint* b) { return Score(*a, now) < Score(*b, now); });
 }
 
-void EndpointPool::OnSend(PooledEndpoint& endpoint, MonotonicTime now) {
+void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now) {
   ++endpoint.in_flight;
+  endpoint.pending_work += work.value();
   endpoint.arrivals.Add(now);
 }
 
+PooledEndpoint* EndpointPool::FindAlive(const EndpointId& id, StartStamp started) {
+  const auto found = endpoints_.find(id);
+  const bool alive = found != endpoints_.end() && found->second.record.started == started;
+  return alive ? &found->second : nullptr;
+}
+
+void EndpointPool::NoteLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
+                            MonotonicTime now) {
+  if (!load) return;
+  const double total = load->running.value() + load->waiting.value();
+  endpoint.others = std::max(0.0, total - endpoint.in_flight);
+  endpoint.reported = now;
+}
+
+void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
+  PooledEndpoint* endpoint = FindAlive(report.endpoint, report.started);
+  if (endpoint == nullptr) return;
+  endpoint->pending_work -= std::min(endpoint->pending_work, report.work.value());
+  NoteLoad(*endpoint, report.load, now);
+}
+
 void EndpointPool::JudgeHealth(PooledEndpoint& endpoint, MonotonicTime now) {
   const double bad = endpoint.answers.bad(now);
   if (bad < kLeastBad) return;
@@ -196,14 +221,12 @@
 }
 
 void EndpointPool::OnReport(const AttemptReport& report, Duration cold_time, MonotonicTime now) {
-  const auto found = endpoints_.find(report.endpoint);
-  if (found == endpoints_.end() || found->second.record.started != report.started) return;
-  PooledEndpoint& endpoint = found->second;
+  PooledEndpoint* const alive = FindAlive(report.endpoint, report.started);
+  if (alive == nullptr) return;
+  PooledEndpoint& endpoint = *alive;
   if (endpoint.in_flight > 0) --endpoint.in_flight;
-  if (report.load) {
-    const double total = report.load->running.value() + report.load->waiting.value();
-    endpoint.others = std::max(0.0, total - endpoint.in_flight - 1);
-    endpoint.reported = now;
+  if (!report.head_latency) {
+    endpoint.pending_work -= std::min(endpoint.pending_work, report.work.value());
   }
   if (report.head_latency && report.outcome == AttemptOutcome::kGood) {
     UpdateLatency(endpoint, report);
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -21,6 +21,8 @@
   EndpointRecord record;
   /// Attempts that this entry has open there.
   std::uint32_t in_flight = 0;
+  /// Prompt tokens, weighted by price, of those that have not begun to answer.
+  std::uint64_t pending_work = 0;
   /// Attempts of the other entries when the endpoint last reported, and when that was.
   double others = 0;
   MonotonicTime reported{};
@@ -62,7 +64,8 @@
 
   /// Endpoint for one attempt; null when none may be used.
   PooledEndpoint* Choose(const EndpointNeed& need, Random& random, MonotonicTime now);
-  void OnSend(PooledEndpoint& endpoint, MonotonicTime now);
+  void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
+  void OnHead(const HeadReport& report, MonotonicTime now);
   void OnReport(const AttemptReport& report, Duration cold_time, MonotonicTime now);
 
   /// Whether the answer took several times as long as is usual for its route and model.
@@ -83,6 +86,10 @@
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
   PooledEndpoint* Preferred(const std::vector<PooledEndpoint*>& candidates,
                             const EndpointNeed& need, MonotonicTime now) const;
+  /// The endpoint in the lifetime that is meant; null when it is gone or has restarted.
+  PooledEndpoint* FindAlive(const EndpointId& id, StartStamp started);
+  static void NoteLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
+                       MonotonicTime now);
   void JudgeHealth(PooledEndpoint& endpoint, MonotonicTime now);
   void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report);
 
--- a/src/bamboodock/command/router/network_duty.cc
+++ b/src/bamboodock/command/router/network_duty.cc
@@ -41,7 +41,15 @@
 
 void NetworkDuty::CloseIdle() {
   asio::post(loop_, [this] {
-    for (CallerConnection& connection : connections_) connection.CloseIfIdle();
+    bool busy = false;
+    for (CallerConnection& connection : connections_) {
+      connection.CloseIfIdle();
+      busy = busy || connection.busy();
+    }
+    if (busy) return;
+    SocketError error;
+    callers_.close(error);
+    finished_ = true;
   });
 }
 
@@ -55,6 +63,7 @@
   while (true) {
     SocketError error;
     asio::ip::tcp::socket socket = co_await callers_.async_accept(StoreError(error));
+    if (finished_) co_return;
     if (error) {
       services_.log.Write(Event::kCallerRejected, RequestId(), "accept: " + error.message());
       asio::steady_timer pause(loop_, kAcceptPause);
--- a/src/bamboodock/command/router/network_duty.h
+++ b/src/bamboodock/command/router/network_duty.h
@@ -24,8 +24,12 @@
   void Start();
   /// Reports not ready and asks callers to leave their connections.
   void BeginDrain();
-  /// Closes connections that serve no request.
+  /// Closes connections that serve no request. When none serves one, takes no more connections.
+  ///
+  /// Both happen in one step on the duty's thread, so that no request is read and then given up.
   void CloseIdle();
+  /// Whether `CloseIdle` found nothing left to do.
+  bool finished() const { return finished_; }
   void Stop();
 
   bool Post(PlannedAttempt planned) { return inbox_.TryPush(std::move(planned)); }
@@ -43,6 +47,7 @@
   asio::ip::tcp::acceptor callers_;
   asio::ip::tcp::acceptor readiness_;
   bool draining_ = false;
+  std::atomic<bool> finished_{false};
   CallerConnectionList connections_;
   std::thread thread_;
 };
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -35,6 +35,7 @@
     state_.Apply(change);
     PublishStatus();
   }
+  void On(HeadReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
   void PublishStatus();
 
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -99,7 +99,7 @@
   report.version = plan.version;
   report.outcome = outcome;
   report.head_latency = head_latency_;
-  report.load = load_;
+  report.work = plan.work;
   report.prompt_tokens = request_->traits.prompt_tokens;
   report.model = plan.model.empty() ? request_->traits.model : plan.model;
   services_.log.Write(
@@ -110,10 +110,13 @@
               ? std::chrono::duration_cast<std::chrono::milliseconds>(*head_latency_).count()
               : -1,
           detail));
-  if (!services_.post(std::move(report))) {
-    services_.log.Write(Event::kRequestBroken, RequestId(request_->traits.attempt.value()),
-                        "code=ring_full: the outcome of an attempt was not counted");
-  }
+  Post(std::move(report));
+}
+
+void RequestExchange::Post(RouteCommand report) {
+  if (services_.post(std::move(report))) return;
+  services_.log.Write(Event::kRequestBroken, RequestId(request_->traits.attempt.value()),
+                      "code=ring_full: the course of an attempt was not counted");
 }
 
 asio::awaitable<PlanAnswer> RequestExchange::AskPlan(PlanReason reason, ModelId model) {
@@ -205,7 +208,6 @@
   progress_ = plan.progress;
   SetDeadline(*progress_.route);
   head_latency_.reset();
-  load_.reset();
   if (Left() <= Duration::zero()) {
     Report(plan, AttemptOutcome::kCancelled, "time is over before the send");
     const bool reusable = co_await Expire();
@@ -260,7 +262,7 @@
   AnswerHead head =
       services_.protocol.ReadAnswer(received.code, received.headers, request_->traits.attempt);
   head_latency_ = services_.clock.Now() - attempt_began_;
-  load_ = head.load;
+  Post(HeadReport{plan.endpoint, plan.started, plan.work, head.load});
   if (head.not_run) {
     --runs_;
     ++not_run_;
@@ -335,7 +337,7 @@
     const AttemptPlan& plan, const AnswerHead& head) {
   const Route& route = *progress_.route;
   if (!request_->traits.chooses_model || runs_ >= route.max_attempts) co_return std::nullopt;
-  const auto better = services_.ladder.Next(route.models, plan.model, head.confidence);
+  const auto better = services_.ladder.Next(route, plan.model, head.confidence);
   if (!better) co_return std::nullopt;
   PlanAnswer answer = co_await AskPlan(PlanReason::kNextModel, *better);
   std::optional<AttemptPlan> planned = std::move(answer.plan);
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -69,6 +69,7 @@
   bool IsStreamRoute() const;
   void SetDeadline(const Route& route);
   void Report(const AttemptPlan& plan, AttemptOutcome outcome, std::string_view detail);
+  void Post(RouteCommand report);
   void LogEnd(Event event, int status, std::string_view detail);
 
   NetworkServices& services_;
@@ -90,7 +91,6 @@
   std::uint32_t not_run_ = 0;
   MonotonicTime attempt_began_{};
   std::optional<Duration> head_latency_;
-  std::optional<ReportedLoad> load_;
   /// Failure that an endpoint answered, kept while other endpoints are tried.
   std::optional<std::pair<AnswerHead, std::string>> endpoint_failure_;
 };
--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -94,6 +94,19 @@
   return found != rollouts_.end() && found->second.share <= schedule_.trial_share.value();
 }
 
+void RolloutDesk::HoldBack(const ServiceId& service, SessionHash session, MonotonicTime until) {
+  const auto found = rollouts_.find(service);
+  if (found != rollouts_.end()) found->second.held_back.insert_or_assign(session, until);
+}
+
+bool RolloutDesk::IsHeldBack(const ServiceId& service, SessionHash session,
+                             MonotonicTime now) const {
+  const auto found = rollouts_.find(service);
+  if (found == rollouts_.end()) return false;
+  const auto held = found->second.held_back.find(session);
+  return held != found->second.held_back.end() && now <= held->second;
+}
+
 void RolloutDesk::OnSend(const ServiceId& service, bool to_target) {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) return;
@@ -120,7 +133,7 @@
 std::vector<RolloutEvidence> RolloutDesk::Evidence() const {
   std::vector<RolloutEvidence> evidence;
   for (const auto& [service, rollout] : rollouts_) {
-    evidence.push_back({service, rollout.order.revision, rollout.own, 0});
+    evidence.push_back({service, rollout.order.revision, rollout.own, 0, {}});
   }
   return evidence;
 }
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -49,6 +49,12 @@
   /// Whether the new version is only tried out, so that sessions may not change to it.
   bool InTrial(const ServiceId& service) const;
 
+  /// Notes a session that stays on its version until `until` while the target is tried out.
+  void HoldBack(const ServiceId& service, SessionHash session, MonotonicTime until);
+  bool IsHeldBack(const ServiceId& service, SessionHash session, MonotonicTime now) const;
+  /// Share of the traffic that tries a target out.
+  Ratio trial_share() const { return schedule_.trial_share; }
+
   void OnSend(const ServiceId& service, bool to_target);
   void OnReport(const AttemptReport& report, bool slow);
 
@@ -79,6 +85,7 @@
     std::uint64_t requests = 0;
     std::uint64_t exposed = 0;
     double share = 0;
+    std::unordered_map<SessionHash, MonotonicTime> held_back;
   };
 
   RolloutSituation Situation(const Rollout& rollout, std::chrono::milliseconds store_now,
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -56,7 +56,7 @@
   std::vector<RolloutProgress> rollouts;
 };
 
-using RouteCommand =
-    std::variant<PlanQuery, AttemptReport, OperatorDelta, EndpointDelta, RouterDelta, PeerReport>;
+using RouteCommand = std::variant<PlanQuery, HeadReport, AttemptReport, OperatorDelta,
+                                  EndpointDelta, RouterDelta, PeerReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -35,6 +35,10 @@
   return static_cast<double>(Hash(text)) / kRange;
 }
 
+SessionHash ShortHash(const SessionId& session) {
+  return SessionHash(static_cast<std::uint32_t>(Hash(session.value())));
+}
+
 /// Hash of the last part of the prompt that other requests share; 0 when there is none.
 std::uint64_t AffinityKey(const RequestTraits& traits) {
   const auto& parts = traits.prompt_parts;
@@ -189,7 +193,9 @@
       traits.session.empty() ? traits.attempt.value() : traits.session.value();
   const auto prefers = rollouts_.PrefersTarget(service, Draw(unit), peers_.Entries());
   const bool in_trial = rollouts_.InTrial(service);
-  if (pinned && in_trial) return {old, false};
+  const bool held_back = !traits.session.empty() &&
+                         rollouts_.IsHeldBack(service, ShortHash(traits.session), clock_.Now());
+  if ((pinned || held_back) && in_trial) return {old, false};
   if (prefers.value_or(false) && pool_.HasVersion(service, target)) return {only, in_trial};
   return {old, !in_trial};
 }
@@ -226,7 +232,12 @@
   if (query.reason != PlanReason::kFirst && !budget.TryRepeat(now, peers_.Entries())) {
     return Refuse(query, ResultCode::kRetryBudgetSpent, "repeats of the service are used up");
   }
-  pool_.OnSend(*endpoint, now);
+  ModelId model = request.traits.model;
+  if (request.traits.chooses_model) {
+    model = query.model.empty() ? ModelLadder::First(progress.route->models) : query.model;
+  }
+  const Tokens work = Work(request, *progress.service, model);
+  pool_.OnSend(*endpoint, work, now);
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
   const VersionId& version = endpoint->record.version;
   if (order != nullptr) rollouts_.OnSend(progress.service->id, version == order->target);
@@ -239,9 +250,8 @@
   plan.address = endpoint->record.address;
   plan.started = endpoint->record.started;
   plan.version = version;
-  if (request.traits.chooses_model) {
-    plan.model = query.model.empty() ? ModelLadder::First(progress.route->models) : query.model;
-  }
+  plan.work = work;
+  if (request.traits.chooses_model) plan.model = model;
   const RoutedAccount* account = table_->FindAccount(request.traits.key);
   const bool ranked = account != nullptr && account->urgency.has_value();
   plan.engine_urgency = EngineUrgency(ranked ? *account->urgency : progress.route->urgency);
@@ -259,6 +269,21 @@
   return {std::move(plan), {}};
 }
 
+Tokens RouteState::Work(const CallerRequest& request, const RoutedService& service,
+                        const ModelId& model) const {
+  double price = 1;
+  double highest = 0;
+  for (const PricedModel& priced : service.models) {
+    highest = std::max(highest, priced.price);
+    if (priced.id == model) price = priced.price;
+  }
+  const double share = highest > 0 ? std::min(price / highest, 1.0) : 0;
+  return Tokens(static_cast<std::uint64_t>(
+      share * static_cast<double>(request.traits.prompt_tokens.value())));
+}
+
+void RouteState::Apply(const HeadReport& report) { pool_.OnHead(report, clock_.Now()); }
+
 void RouteState::Apply(const AttemptReport& report) {
   const MonotonicTime now = clock_.Now();
   const bool slow = report.head_latency && pool_.IsSlow(report);
@@ -337,8 +362,12 @@
 void RouteState::Apply(const PeerReport& report) {
   const IncarnationId replaced = peers_.Hear(report.host, report.incarnation, clock_.Now());
   if (!replaced.empty()) rollouts_.Forget(replaced);
+  const MonotonicTime until = clock_.Now() + limits_.session_time;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
+    for (const SessionHash session : evidence.held_back) {
+      rollouts_.HoldBack(evidence.service, session, until);
+    }
   }
 }
 
@@ -364,6 +393,11 @@
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOthers(evidence.service, order->target);
+    if (!rollouts_.InTrial(evidence.service)) continue;
+    sessions_.ForEach(evidence.service, clock_.Now(), [&](const auto& session, const auto& version) {
+      const bool tries = Draw(session.value()) < rollouts_.trial_share().value();
+      if (tries && version != order->target) evidence.held_back.push_back(ShortHash(session));
+    });
   }
   return report;
 }
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -34,6 +34,7 @@
              EventLog& log);
 
   PlanAnswer Plan(const PlanQuery& query);
+  void Apply(const HeadReport& report);
   void Apply(const AttemptReport& report);
   void Apply(const OperatorDelta& delta);
   void Apply(const EndpointDelta& delta);
@@ -70,6 +71,8 @@
                               const RolloutOrder& order);
   VersionChoice BaselineChoice(const ServiceId& service);
   const RoutedService* PickService(const PlanQuery& query, const Route& route) const;
+  Tokens Work(const CallerRequest& request, const RoutedService& service,
+              const ModelId& model) const;
   RepeatBudget& Budget(const ServiceId& service);
   void Install(const Ref<const RouteTable>& table);
   void ApplyEvacuation(const OperatorRow& row);
--- a/src/bamboodock/command/router/router_limits.h
+++ b/src/bamboodock/command/router/router_limits.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <vector>
 
 #include "bamboodock/command/router/rollout_desk.h"
 #include "bamboodock/core/units.h"
@@ -20,8 +21,8 @@
   Duration key_freshness = std::chrono::milliseconds(3750);
   /// Requests of a session that follow each other within this time keep their version.
   Duration session_time = std::chrono::seconds(5);
-  /// Confidence below which an answer of the smallest model is dropped.
-  std::uint32_t least_confidence = 65;
+  /// Confidence below which an answer of the smallest model is dropped, by urgency.
+  std::vector<std::uint32_t> least_confidence{65};
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -133,9 +133,8 @@
   const MonotonicTime out_of_balancer = begin + kBalancerLag;
   const MonotonicTime last = begin + parts.grace - kStopReserve;
   while (parts.clock.Now() < last) {
-    const bool left = parts.clock.Now() >= out_of_balancer;
-    if (left) parts.network.CloseIdle();
-    if (left && parts.network.open_requests() == 0) break;
+    if (parts.clock.Now() >= out_of_balancer) parts.network.CloseIdle();
+    if (parts.network.finished()) break;
     // Open requests end on the network thread; nothing here is woken by them.
     std::this_thread::sleep_for(kStopPoll);
   }
--- a/src/bamboodock/command/router/session_pins.h
+++ b/src/bamboodock/command/router/session_pins.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 
 #include "bamboodock/core/ids.h"
@@ -27,6 +26,14 @@
     pins_.insert_or_assign({service, session}, Pin{version, now});
   }
 
+  /// Calls `visit(session, version)` for each pin of the service that is in force.
+  template <class Visit>
+  void ForEach(const ServiceId& service, MonotonicTime now, Visit visit) const {
+    for (const auto& [key, pin] : pins_) {
+      if (key.first == service && now - pin.used <= lifetime_) visit(key.second, pin.version);
+    }
+  }
+
   void Prune(MonotonicTime now) {
     std::erase_if(pins_, [&](const auto& pin) { return now - pin.second.used > lifetime_; });
   }
--- a/src/bamboodock/policy/model_ladder.h
+++ b/src/bamboodock/policy/model_ladder.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "bamboodock/core/ids.h"
-#include "bamboodock/core/units.h"
+#include "bamboodock/routing/route.h"
 
 namespace bamboodock {
 
@@ -16,8 +18,9 @@
 class ModelLadder {
  public:
   /// @param least_confidence Confidence, 0 to 100, below which an answer of the smallest model is
-  /// dropped.
-  explicit ModelLadder(std::uint32_t least_confidence) : least_confidence_(least_confidence) {}
+  /// dropped; one for each urgency from 0 on, the last one for all further ones. Must not be empty.
+  explicit ModelLadder(std::vector<std::uint32_t> least_confidence)
+      : least_confidence_(std::move(least_confidence)) {}
 
   /// Model of the first send; empty when the route names none.
   static ModelId First(const std::vector<ModelId>& models) {
@@ -25,15 +28,18 @@
   }
 
   /// Model that is to answer in place of `model`; empty when the answer is good enough.
-  std::optional<ModelId> Next(const std::vector<ModelId>& models, const ModelId& model,
+  std::optional<ModelId> Next(const Route& route, const ModelId& model,
                               std::optional<std::uint32_t> confidence) const {
+    const std::vector<ModelId>& models = route.models;
     if (models.size() < 2 || model == models.back() || !confidence) return std::nullopt;
-    if (*confidence >= least_confidence_) return std::nullopt;
+    const std::size_t rank = std::min<std::size_t>(route.urgency.value(),
+                                                   least_confidence_.size() - 1);
+    if (*confidence >= least_confidence_[rank]) return std::nullopt;
     return models.back();
   }
 
  private:
-  std::uint32_t least_confidence_;
+  std::vector<std::uint32_t> least_confidence_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -24,6 +24,8 @@
 struct RolloutSchedule {
   /// Share of the traffic that tries the new version out.
   Ratio trial_share{0.10};
+  /// The trial begins so late that the entries have told each other which sessions ran before.
+  double trial_begin = 0.08;
   /// Sessions may not change to the new version in the first half.
   double move_begin = 0.52;
   double move_end = 0.64;
@@ -39,6 +41,7 @@
 inline Ratio NewVersionShare(const RolloutSchedule& schedule, const RolloutSituation& now) {
   if (now.state == RolloutState::kCompleted) return Ratio(1);
   if (now.state == RolloutState::kRolledBack || now.bad) return Ratio(0);
+  if (now.progress < schedule.trial_begin) return Ratio(0);
   const double trial = schedule.trial_share.value();
   if (now.progress < schedule.move_begin || now.answers < schedule.least_answers) {
     return Ratio(trial);
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -48,6 +48,8 @@
   ModelId model;
   VersionId version;
   std::uint32_t engine_urgency = 5;
+  /// Prompt tokens, weighted by the price of the model, that the endpoint has to read.
+  Tokens work;
   /// The request must not be sent later: the knowledge behind the decision is too old by then.
   MonotonicTime valid_until;
 };
@@ -79,6 +81,14 @@
 
 std::string_view Name(AttemptOutcome outcome);
 
+/// The head of an answer has arrived: the prompt is read.
+struct HeadReport {
+  EndpointId endpoint;
+  StartStamp started;
+  Tokens work;
+  std::optional<ReportedLoad> load;
+};
+
 /// Outcome of one attempt, for the load view and the evidence about versions.
 struct AttemptReport {
   EndpointId endpoint;
@@ -89,8 +99,9 @@
   AttemptOutcome outcome = AttemptOutcome::kGood;
   /// Time to the head of the answer; empty when there was none.
   std::optional<Duration> head_latency;
-  std::optional<ReportedLoad> load;
   Tokens prompt_tokens;
+  /// Work of the plan; counted until the head of the answer.
+  Tokens work;
   ModelId model;
 };
 
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -4,10 +4,14 @@
 #include <vector>
 
 #include "bamboodock/core/ids.h"
+#include "bamboodock/core/quantity.h"
 #include "bamboodock/policy/evidence_counters.h"
 
 namespace bamboodock {
 
+/// Short hash of a session id.
+using SessionHash = Quantity<struct SessionHashTag, std::uint32_t>;
+
 /// One entry's view of a rollout.
 struct RolloutEvidence {
   ServiceId service;
@@ -16,6 +20,9 @@
   EvidenceCounters answers;
   /// Open attempts at other versions than the target.
   std::uint64_t open_at_old = 0;
+  /// Sessions among those to try the target out that ran on another version lately; they stay there
+  /// while the target is only tried out, at every entry.
+  std::vector<SessionHash> held_back;
 };
 
 /// What an entry tells the others, several times a second.
--- /dev/null
+++ b/test/platform/http_wire_protocol_test.cc
@@ -0,0 +1,140 @@
+#include "platform/http_wire_protocol.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace bamboodock::platform {
+
+class HttpWireProtocolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpWireProtocolTest);
+  CPPUNIT_TEST(CallersCannotSetSystemHeaders);
+  CPPUNIT_TEST(HeadersNamedByConnectionAreDropped);
+  CPPUNIT_TEST(TraitsAreDecoded);
+  CPPUNIT_TEST(UnreadableHeadersAreRefused);
+  CPPUNIT_TEST(AttemptNamesEndpointAndAccount);
+  CPPUNIT_TEST(AnswerOfAnotherRequestIsSeen);
+  CPPUNIT_TEST(NotExecutedAndWrongEndpoint);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against callers that choose their account, another's memory or an engine's priority.
+  void CallersCannotSetSystemHeaders() {
+    const CallerRequest request = Read({{"x-bamboodock-attempt-id", "a1"},
+                                        {"X-Bamboodock-Tenant", "other"},
+                                        {"x-bamboodock-hold", "h"},
+                                        {"X-Bamboodock-Pin-Ms", "9"},
+                                        {"X-Bamboodock-Kv-Backup", "10.0.0.1:1"},
+                                        {"Kv-From", "10.0.0.1:1/x"},
+                                        {"Kv-Fetch", "10.0.0.1:1"},
+                                        {"X-Bamboodock-Expect-Instance", "i"},
+                                        {"X-Bamboodock-Expect-Version", "2"},
+                                        {"X-Bamboodock-Request-Priority", "0"},
+                                        {"X-Api-Key", "k"},
+                                        {"X-Other", "kept"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, request.headers.size());
+    CPPUNIT_ASSERT(FindHeader(request.headers, "X-Other") == "kept");
+  }
+
+  // Guards against headers of one connection that reach an endpoint, and against a Connection header
+  // that strips the id of the request.
+  void HeadersNamedByConnectionAreDropped() {
+    const CallerRequest request = Read({{"X-Bamboodock-Attempt-Id", "a1"},
+                                        {"Connection", "close, X-Private, X-Bamboodock-Attempt-Id"},
+                                        {"X-Private", "p"},
+                                        {"Host", "h.example"}});
+    CPPUNIT_ASSERT(FindHeader(request.headers, "X-Private").empty());
+    CPPUNIT_ASSERT(FindHeader(request.headers, "X-Bamboodock-Attempt-Id") == "a1");
+  }
+
+  void TraitsAreDecoded() {
+    const CallerRequest request = Read({{"X-Bamboodock-Attempt-Id", "a1"},
+                                        {"X-Bamboodock-Time-Left-Ms", "1500"},
+                                        {"X-Bamboodock-Model", "*"},
+                                        {"X-Bamboodock-Token-Counts", "1460,80"},
+                                        {"X-Bamboodock-Prompt-Prefix", "5c1e:800,91bd:410"},
+                                        {"Last-Event-Id", "12"}});
+    const RequestTraits& traits = request.traits;
+    CPPUNIT_ASSERT(traits.time_left == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT(traits.chooses_model && traits.model.empty());
+    CPPUNIT_ASSERT(traits.prompt_tokens == Tokens(1460) && traits.most_output_tokens == Tokens(80));
+    CPPUNIT_ASSERT(traits.prompt_parts.size() == 2);
+    CPPUNIT_ASSERT(traits.prompt_parts[1].tokens == Tokens(410));
+    CPPUNIT_ASSERT(traits.last_event == 12U);
+    // The router names the model, so the caller's wildcard must not reach the endpoint.
+    CPPUNIT_ASSERT(FindHeader(request.headers, "X-Bamboodock-Model").empty());
+  }
+
+  void UnreadableHeadersAreRefused() {
+    CPPUNIT_ASSERT(!Reads({{"X-Bamboodock-Time-Left-Ms", "5"}}));
+    CPPUNIT_ASSERT(!Reads({{"X-Bamboodock-Attempt-Id", "a"}, {"X-Bamboodock-Time-Left-Ms", "-1"}}));
+    CPPUNIT_ASSERT(!Reads({{"X-Bamboodock-Attempt-Id", "a"}, {"X-Bamboodock-Token-Counts", "x"}}));
+    CPPUNIT_ASSERT(!Reads({{"X-Bamboodock-Attempt-Id", "a"}, {"X-Bamboodock-Prompt-Prefix", "5c"}}));
+    CPPUNIT_ASSERT(!Reads({{"X-Bamboodock-Attempt-Id", "a"}, {"Last-Event-Id", "12x"}}));
+  }
+
+  void AttemptNamesEndpointAndAccount() {
+    const CallerRequest request = Read({{"X-Bamboodock-Attempt-Id", "a1"}});
+    ForwardTraits forward;
+    forward.endpoint = EndpointId("i-1");
+    forward.account = ClientAccountId("acct");
+    forward.time_left = std::chrono::microseconds(1234567);
+    const auto headers = HttpWireProtocol().AttemptHeaders(request, forward);
+    CPPUNIT_ASSERT(FindHeader(headers, "X-Bamboodock-Expect-Instance") == "i-1");
+    CPPUNIT_ASSERT(FindHeader(headers, "X-Bamboodock-Tenant") == "acct");
+    CPPUNIT_ASSERT(FindHeader(headers, "X-Bamboodock-Time-Left-Ms") == "1234");
+    CPPUNIT_ASSERT(FindHeader(headers, "Last-Event-Id").empty());
+  }
+
+  // Guards against an answer that is passed to the wrong caller.
+  void AnswerOfAnotherRequestIsSeen() {
+    const HttpWireProtocol protocol;
+    const auto head = protocol.ReadAnswer(200,
+                                          {{"X-Bamboodock-Attempt-Id", "a2"},
+                                           {"X-Bamboodock-Response-Stamp", "s"},
+                                           {"Content-Encoding", "gzip"},
+                                           {"Content-Length", "5"}},
+                                          AttemptId("a1"));
+    CPPUNIT_ASSERT(!head.matches_request && head.has_digest && head.encoded);
+    CPPUNIT_ASSERT(FindHeader(head.headers, "Content-Length").empty());
+  }
+
+  void NotExecutedAndWrongEndpoint() {
+    const HttpWireProtocol protocol;
+    const auto full = protocol.ReadAnswer(
+        503, {{"X-Bamboodock-Not-Executed", "1"}, {"X-Bamboodock-Server-Load", "64,12,64"}},
+        AttemptId("a"));
+    CPPUNIT_ASSERT(full.not_run && !full.wrong_endpoint);
+    CPPUNIT_ASSERT(full.load && full.load->waiting == Concurrency(12));
+    const auto other = protocol.ReadAnswer(421, {}, AttemptId("a"));
+    CPPUNIT_ASSERT(other.not_run && other.wrong_endpoint);
+    CPPUNIT_ASSERT(!protocol.ReadAnswer(503, {}, AttemptId("a")).not_run);
+  }
+
+ private:
+  static CallerRequest Read(const std::vector<HttpHeader>& headers) {
+    CallerRequest request;
+    const bool read = HandleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(HttpWireProtocol().ReadRequest(headers, request));
+          return true;
+        },
+        [](const Failure&) { return false; });
+    CPPUNIT_ASSERT(read);
+    return request;
+  }
+
+  static bool Reads(const std::vector<HttpHeader>& headers) {
+    CallerRequest request;
+    return HandleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(HttpWireProtocol().ReadRequest(headers, request));
+          return true;
+        },
+        [](const Failure&) { return false; });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpWireProtocolTest);
+
+}  // namespace bamboodock::platform
--- /dev/null
+++ b/test/platform/platform_directory_test.cc
@@ -0,0 +1,201 @@
+#include "platform/platform_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "bamboodock/policy/random.h"
+#include "platform/table_store_protocol.h"
+
+namespace bamboodock::platform {
+namespace {
+
+constexpr const char* kConfig = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","prefix":"/a/","kind":"stream","timeoutMs":20000,
+   "targetLatencyMs":4000,"priority":1,"sizes":["m0","m1","m2"],
+   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":3,
+   "public":false,"resumable":true,"targetGapMs":2000},
+  {"name":"r2","host":"h.example","prefix":"/a/b/","kind":"unsafe","timeoutMs":800,
+   "service":"s2","maxAttempts":1,"public":true}],
+  "services":[{"name":"s1","coldS":3.0,"coldPerS":8.9,"maxConnections":360,
+   "engine":{"models":[{"name":"m0","cost":0.019}]}},{"name":"s2","coldS":0,"coldPerS":0}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+   "idleTimeoutMs":15000},
+  "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+constexpr const char* kRunner =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,
+        "state":"ready","coldRemainingMs":1500,"sequence":4,"born":1787956282063})";
+
+StoreRow Row(std::string table, std::string key, std::string value) {
+  return {std::move(table), std::move(key), std::move(value), 5, false};
+}
+
+template <class Read>
+bool Fails(Read read) {
+  return HandleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(read());
+        return false;
+      },
+      [](const Failure& failure) { return failure.code == ResultCode::kBadMessage; });
+}
+
+}  // namespace
+
+class PlatformDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformDirectoryTest);
+  CPPUNIT_TEST(ConfigIsDecoded);
+  CPPUNIT_TEST(LongestPrefixWins);
+  CPPUNIT_TEST(EndpointIsDecoded);
+  CPPUNIT_TEST(ForeignRowsNameNoEndpoint);
+  CPPUNIT_TEST(MutatedRowsNeverCrash);
+  CPPUNIT_TEST(ProgressSurvivesTheRow);
+  CPPUNIT_TEST(StoreAnswersAreClassified);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ConfigIsDecoded() {
+    const auto table = Config();
+    CPPUNIT_ASSERT(table->version() == ConfigVersion(7));
+    const Route* route = table->FindRoute("h.example", "/a/x");
+    CPPUNIT_ASSERT(route != nullptr && route->Idempotent());
+    CPPUNIT_ASSERT(route->latency_objective == std::chrono::seconds(4));
+    CPPUNIT_ASSERT(route->services.size() == 2 && route->models.size() == 3);
+    CPPUNIT_ASSERT(table->FindAccount(ApiKey("k2"))->id == ClientAccountId("t1"));
+    CPPUNIT_ASSERT(table->FindAccount(ApiKey("k3")) == nullptr);
+    CPPUNIT_ASSERT(table->FindService(ServiceId("s1"))->cold_time == std::chrono::seconds(3));
+  }
+
+  // Guards against requests that take the route of a shorter prefix.
+  void LongestPrefixWins() {
+    const auto table = Config();
+    CPPUNIT_ASSERT(table->FindRoute("h.example", "/a/b/c")->id == RouteId("r2"));
+    CPPUNIT_ASSERT(table->FindRoute("h.example", "/a/bc")->id == RouteId("r1"));
+    CPPUNIT_ASSERT(table->FindRoute("h.example", "/b/") == nullptr);
+    CPPUNIT_ASSERT(table->FindRoute("other.example", "/a/") == nullptr);
+  }
+
+  void EndpointIsDecoded() {
+    const EndpointRecord record = Endpoint(kRunner);
+    CPPUNIT_ASSERT(record.address == (Address{"10.0.0.9", 8080}));
+    CPPUNIT_ASSERT(record.cold_remaining == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT(record.started == StartStamp(1787956282063));
+    CPPUNIT_ASSERT(!record.draining);
+  }
+
+  // Guards against entries by other writers that are taken for endpoints.
+  void ForeignRowsNameNoEndpoint() {
+    const PlatformDirectory directory;
+    for (const char* value :
+         {"", "not json", "[]", "{}", R"({"service":1})",
+          R"({"service":"s1","address":"nowhere","zone":"z","version":"v1","slots":64,"state":"ready"})",
+          R"({"service":"s1","address":"10.0.0.9:1","zone":"z","version":"v1","slots":64,"state":"odd"})",
+          R"({"service":"s1","address":"10.0.0.9:1","zone":"z","version":"v1","slots":"64","state":"ready"})"}) {
+      CPPUNIT_ASSERT(Fails([&] { return directory.ReadEndpoint(Row("servers", "i", value)); }));
+    }
+    CPPUNIT_ASSERT(Fails([&] { return directory.ReadOperatorRow(Row("op", "config", "{}")); }));
+  }
+
+  // Guards against rows that end the process: single bytes of valid rows are changed at random.
+  void MutatedRowsNeverCrash() {
+    const PlatformDirectory directory;
+    Random random(20261204);
+    for (int round = 0; round < 3000; ++round) {
+      std::string value = round % 2 == 0 ? kRunner : kConfig;
+      value[random.Below(value.size())] = static_cast<char>(random.Below(256));
+      const StoreRow row = round % 2 == 0 ? Row("servers", "i", value) : Row("op", "config", value);
+      HandleFailure(
+          [&]() -> Result<void> {
+            if (round % 2 == 0) {
+              BOOST_LEAF_CHECK(directory.ReadEndpoint(row));
+            } else {
+              BOOST_LEAF_CHECK(directory.ReadOperatorRow(row));
+            }
+            return {};
+          },
+          [](const Failure& failure) {
+            CPPUNIT_ASSERT(failure.code == ResultCode::kBadMessage);
+          });
+    }
+  }
+
+  // Guards against a rollout that begins anew when all entries have restarted.
+  void ProgressSurvivesTheRow() {
+    RolloutProgress progress;
+    progress.service = ServiceId("s1");
+    progress.target = VersionId("v2");
+    progress.order_revision = 41;
+    progress.state = RolloutState::kRolledBack;
+    progress.started = std::chrono::milliseconds(7000);
+    progress.revision = 55;
+    const auto writes = PlatformDirectory().WriteProgress(progress);
+    CPPUNIT_ASSERT(writes[0].expected_revision == 55U);
+    CPPUNIT_ASSERT(writes[1].row.table == "status" && writes[1].row.key == "rollout/s1");
+    CPPUNIT_ASSERT(writes[1].row.value.find("rolled_back") != std::string::npos);
+    StoreRow row = writes[0].row;
+    row.revision = 60;
+    const auto read = PlatformDirectory().ReadProgress(row);
+    CPPUNIT_ASSERT(read && read->state == RolloutState::kRolledBack);
+    CPPUNIT_ASSERT(read->order_revision == 41 && read->revision == 60);
+    CPPUNIT_ASSERT(read->started == std::chrono::milliseconds(7000));
+  }
+
+  void StoreAnswersAreClassified() {
+    CPPUNIT_ASSERT(CodeOf({410, {}, ""}) == ResultCode::kHistoryLost);
+    CPPUNIT_ASSERT(CodeOf({412, {}, ""}) == ResultCode::kStoreConflict);
+    CPPUNIT_ASSERT(CodeOf({429, {}, ""}) == ResultCode::kStoreUnavailable);
+    CPPUNIT_ASSERT(CodeOf({200, {}, "{\"rows\":[{}]}"}) == ResultCode::kBadMessage);
+    const TableStoreProtocol protocol;
+    const auto request = protocol.Transact({{Row("t", "k", "node-1"), 3U}});
+    CPPUNIT_ASSERT(request.body.find("bm9kZS0x") != std::string::npos);
+    CPPUNIT_ASSERT(request.body.find("\"ver\":3") != std::string::npos);
+    const HttpResponse response{
+        200, {}, R"({"rows":[{"tableName":"t","part":"","key":"k","value":"bm9kZS0x","ver":9},
+                 {"tableName":"t","part":"","key":"g","ver":10,"isGone":true}],
+                 "ver":12,"nowMs":70,"morePages":false})"};
+    HandleFailure(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(answer, protocol.ReadAnswer(response));
+          CPPUNIT_ASSERT(answer.rows.size() == 2 && answer.rows[0].value == "node-1");
+          CPPUNIT_ASSERT(answer.rows[1].deleted && answer.revision == 12);
+          return {};
+        },
+        [](const Failure& failure) { CPPUNIT_FAIL(failure.detail); });
+  }
+
+ private:
+  static ResultCode CodeOf(const HttpResponse& response) {
+    return HandleFailure(
+        [&]() -> Result<ResultCode> {
+          BOOST_LEAF_CHECK(TableStoreProtocol().ReadAnswer(response));
+          return ResultCode::kOk;
+        },
+        [](const Failure& failure) { return failure.code; });
+  }
+
+  static Ref<const RouteTable> Config() {
+    return HandleFailure(
+        []() -> Result<Ref<const RouteTable>> {
+          BOOST_LEAF_AUTO(row, PlatformDirectory().ReadOperatorRow(Row("op", "config", kConfig)));
+          return row.config;
+        },
+        [](const Failure& failure) -> Ref<const RouteTable> {
+          CPPUNIT_FAIL(failure.detail);
+          return {};
+        });
+  }
+
+  static EndpointRecord Endpoint(const std::string& value) {
+    return HandleFailure(
+        [&]() -> Result<EndpointRecord> {
+          return PlatformDirectory().ReadEndpoint(Row("servers", "i-1", value));
+        },
+        [](const Failure& failure) {
+          CPPUNIT_FAIL(failure.detail);
+          return EndpointRecord();
+        });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDirectoryTest);
+
+}  // namespace bamboodock::platform
