--- a/apps/router.cc
+++ b/apps/router.cc
@@ -33,7 +33,7 @@
 DEFINE_uint32(revoke_ms, 5000, "time within which a removed API key is refused everywhere");
 DEFINE_double(session_s, 5, "longest pause between two requests of one session in seconds");
 DEFINE_double(grace_s, 8, "longest time that a stop may take in seconds");
-DEFINE_string(least_confidence, "65",
+DEFINE_string(least_confidence, "60",
               "confidence (0 to 100) below which an answer of the smallest model is dropped; one "
               "for each urgency of routes from 0 on, the last one for all further ones");
 DEFINE_bool(metrics, true, "serve metrics on the second internal port");
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -20,10 +20,10 @@
 constexpr std::chrono::duration<double> kReportHalfLife{1.5};
 /// Prompt tokens of the dearest model that hold an engine up as long as another request does.
 constexpr double kWorkPerRequest = 2000;
-/// Load up to which an endpoint with the prompt's shared part in its cache is preferred: so many
-/// times the mean, and so many requests more.
-constexpr double kAffinityFactor = 1.3;
-constexpr double kAffinitySlack = 6;
+/// Load up to which an endpoint with the prompt's shared parts in its cache is preferred: so many
+/// times the mean, and a request more for so many tokens that it need not read.
+constexpr double kAffinityFactor = 1.15;
+constexpr double kTokensPerSlack = 1500;
 /// Score of an endpoint in another zone, in requests per slot.
 constexpr double kOtherZone = 0.15;
 /// Failures, by weight, before an endpoint is compared with the others.
@@ -122,8 +122,8 @@
                                         const EndpointNeed& need, MonotonicTime now) const {
   double total = 0;
   for (const PooledEndpoint* endpoint : candidates) total += Load(*endpoint, now);
-  const double bound =
-      kAffinityFactor * total / static_cast<double>(candidates.size()) + kAffinitySlack;
+  const double bound = kAffinityFactor * total / static_cast<double>(candidates.size()) +
+                       static_cast<double>(need.shared.value()) / kTokensPerSlack;
   std::vector<std::pair<std::uint64_t, PooledEndpoint*>> ranked;
   ranked.reserve(candidates.size());
   for (PooledEndpoint* endpoint : candidates) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -46,6 +46,8 @@
   const std::vector<EndpointId>* tried = nullptr;
   /// Hash of the shared part of the prompt; 0 when the request has none.
   std::uint64_t affinity = 0;
+  /// Tokens of the prompt's shared parts, which an endpoint that has them need not read.
+  Tokens shared;
   std::uint32_t entries = 1;
 };
 
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -46,6 +46,14 @@
   return Hash(parts[parts.size() - 2].id.value()) | 1U;
 }
 
+/// Tokens of the parts of the prompt that other requests share: all but the last.
+Tokens SharedTokens(const RequestTraits& traits) {
+  Tokens shared;
+  const auto& parts = traits.prompt_parts;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) shared += parts[i].tokens;
+  return shared;
+}
+
 Duration RetryAfter(ResultCode code) {
   switch (code) {
     case ResultCode::kNoConfiguration:
@@ -217,6 +225,7 @@
   need.allows_version = choice.allows;
   need.tried = &progress.tried;
   need.affinity = AffinityKey(request.traits);
+  need.shared = SharedTokens(request.traits);
   need.entries = peers_.Entries();
   PooledEndpoint* endpoint = pool_.Choose(need, random_, now);
   if (endpoint == nullptr && choice.may_fall_back) {
@@ -394,10 +403,12 @@
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOthers(evidence.service, order->target);
     if (!rollouts_.InTrial(evidence.service)) continue;
-    sessions_.ForEach(evidence.service, clock_.Now(), [&](const auto& session, const auto& version) {
-      const bool tries = Draw(session.value()) < rollouts_.trial_share().value();
-      if (tries && version != order->target) evidence.held_back.push_back(ShortHash(session));
-    });
+    sessions_.ForEach(evidence.service, clock_.Now(),
+                      [&](const auto& session, const auto& version) {
+                        const bool tries = Draw(session.value()) < rollouts_.trial_share().value();
+                        if (tries && version != order->target)
+                          evidence.held_back.push_back(ShortHash(session));
+                      });
   }
   return report;
 }
--- a/src/bamboodock/command/router/router_limits.h
+++ b/src/bamboodock/command/router/router_limits.h
@@ -22,7 +22,7 @@
   /// Requests of a session that follow each other within this time keep their version.
   Duration session_time = std::chrono::seconds(5);
   /// Confidence below which an answer of the smallest model is dropped, by urgency.
-  std::vector<std::uint32_t> least_confidence{65};
+  std::vector<std::uint32_t> least_confidence{60};
 };
 
 }  // namespace bamboodock
