Refuse requests that might outlast a stop

Change: once the balancer has left, the port is closed, idle connections are closed and what still arrives is refused 503, in one step on the network thread.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -10,13 +10,16 @@
 /// A caller whose host is gone is noticed after about this time.
 constexpr std::chrono::seconds kCallerSilence{4};
 
+/// Time after which a caller finds another entry in rotation.
+constexpr std::chrono::milliseconds kRetryAfterStop{100};
+
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services,
-                                   const bool& draining)
+                                   const DrainPhase& phase)
     : stream_(std::move(socket)),
       services_(services),
-      draining_(draining),
+      phase_(phase),
       reader_(stream_, services.protocol, services.clock) {
   ConfigureSocket(stream_.socket(), kCallerSilence);
   ++services_.counters.open_connections;
@@ -40,7 +43,12 @@
     CallerRead read = co_await reader_.Read(limits);
     busy_ = true;
     open = read.request != nullptr;
-    if (open) {
+    if (open && phase_ == DrainPhase::kClosed) {
+      open = false;
+      Failure stopping{ResultCode::kStopping, "the process stops", RunState::kNotRun,
+                       kRetryAfterStop};
+      co_await Reject(std::move(stopping));
+    } else if (open) {
       open = co_await Serve(std::move(read));
     } else if (read.refusal.code != ResultCode::kOk) {
       co_await Reject(std::move(read.refusal));
@@ -64,14 +72,14 @@
   ++services_.counters.requests;
   ++services_.counters.open_requests;
   AnswerWriter writer(stream_);
-  writer.set_keep_alive(read.keep_alive && !draining_);
+  writer.set_keep_alive(read.keep_alive && phase_ == DrainPhase::kOpen);
   RequestExchange exchange(services_, stream_.get_executor(), writer, std::move(read.request));
   auto watch = MakeRef<CallerWatch>(stream_.socket(), [&exchange] { exchange.OnCallerClosed(); });
   watch->Start();
   const bool reusable = co_await exchange.Run();
   watch->Stop();
   --services_.counters.open_requests;
-  co_return reusable && !draining_;
+  co_return reusable && phase_ == DrainPhase::kOpen;
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/caller_connection.h
+++ b/src/bamboodock/command/router/caller_connection.h
@@ -8,12 +8,21 @@
 
 namespace bamboodock {
 
+/// How far a stop of the process has come.
+enum class DrainPhase : std::uint8_t {
+  kOpen,
+  /// Callers are asked to leave; requests are still served.
+  kLeaving,
+  /// Requests are refused "not run", since they might not end before the process does.
+  kClosed,
+};
+
 /// One connection of a caller; serves its requests one after another.
 class CallerConnection : public RefCounted<CallerConnection>,
                          public boost::intrusive::list_base_hook<
                              boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
-  CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services, const bool& draining);
+  CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services, const DrainPhase& phase);
   ~CallerConnection();
 
   /// Serves the connection until it ends; holds it meanwhile.
@@ -30,7 +39,7 @@
 
   beast::tcp_stream stream_;
   NetworkServices& services_;
-  const bool& draining_;
+  const DrainPhase& phase_;
   CallerReader reader_;
   bool busy_ = false;
 };
--- a/src/bamboodock/command/router/network_duty.cc
+++ b/src/bamboodock/command/router/network_duty.cc
@@ -36,20 +36,20 @@
 }
 
 void NetworkDuty::BeginDrain() {
-  asio::post(loop_, [this] { draining_ = true; });
+  asio::post(loop_, [this] { phase_ = DrainPhase::kLeaving; });
 }
 
 void NetworkDuty::CloseIdle() {
   asio::post(loop_, [this] {
+    phase_ = DrainPhase::kClosed;
+    SocketError error;
+    callers_.close(error);
     bool busy = false;
     for (CallerConnection& connection : connections_) {
       connection.CloseIfIdle();
       busy = busy || connection.busy();
     }
-    if (busy) return;
-    SocketError error;
-    callers_.close(error);
-    finished_ = true;
+    finished_ = !busy;
   });
 }
 
@@ -63,7 +63,7 @@
   while (true) {
     SocketError error;
     asio::ip::tcp::socket socket = co_await callers_.async_accept(StoreError(error));
-    if (finished_) co_return;
+    if (phase_ == DrainPhase::kClosed) co_return;
     if (error) {
       services_.log.Write(Event::kCallerRejected, RequestId(), "accept: " + error.message());
       asio::steady_timer pause(loop_, kAcceptPause);
@@ -74,14 +74,14 @@
       services_.log.Write(Event::kCallerRejected, RequestId(), "too many connections");
       continue;
     }
-    auto connection = MakeRef<CallerConnection>(std::move(socket), services_, draining_);
+    auto connection = MakeRef<CallerConnection>(std::move(socket), services_, phase_);
     connections_.push_back(*connection);
     asio::co_spawn(loop_, CallerConnection::Run(std::move(connection)), asio::detached);
   }
 }
 
 bool NetworkDuty::IsReady() const {
-  return !draining_ && services_.clock.Now() < services_.status()->ready_until;
+  return phase_ == DrainPhase::kOpen && services_.clock.Now() < services_.status()->ready_until;
 }
 
 asio::awaitable<void> NetworkDuty::AcceptReadiness() {
--- a/src/bamboodock/command/router/network_duty.h
+++ b/src/bamboodock/command/router/network_duty.h
@@ -24,9 +24,10 @@
   void Start();
   /// Reports not ready and asks callers to leave their connections.
   void BeginDrain();
-  /// Closes connections that serve no request. When none serves one, takes no more connections.
+  /// Takes no more connections, refuses further requests "not run" and closes connections that
+  /// serve none.
   ///
-  /// Both happen in one step on the duty's thread, so that no request is read and then given up.
+  /// This is one step on the duty's thread, so that no request is read and then given up.
   void CloseIdle();
   /// Whether `CloseIdle` found nothing left to do.
   bool finished() const { return finished_; }
@@ -46,7 +47,7 @@
   RingInbox<PlannedAttempt> inbox_;
   asio::ip::tcp::acceptor callers_;
   asio::ip::tcp::acceptor readiness_;
-  bool draining_ = false;
+  DrainPhase phase_ = DrainPhase::kOpen;
   std::atomic<bool> finished_{false};
   CallerConnectionList connections_;
   std::thread thread_;
