--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -9,12 +9,15 @@
 
 Json EncodeEvidence(const RolloutEvidence& evidence) {
   const EvidenceCounters& answers = evidence.answers;
+  Json held_back = Json::array();
+  for (const SessionHash hash : evidence.held_back) held_back.push_back(hash.value());
   return {evidence.service.value(),
           evidence.order_revision,
           answers.answers,
           answers.errors,
           answers.slow,
-          evidence.open_at_old};
+          evidence.open_at_old,
+          held_back};
 }
 
 RolloutEvidence DecodeEvidence(const Json& json) {
--- a/src/bamboodock/command/router/peer_view.h
+++ b/src/bamboodock/command/router/peer_view.h
@@ -22,13 +22,20 @@
   /// Returns whether the host is new.
   bool AddRow(const HostId& host) { return host != self_ && rows_.insert(host).second; }
 
-  /// Returns the incarnation that this report replaces; empty when there is none.
-  IncarnationId Hear(const HostId& host, const IncarnationId& incarnation, MonotonicTime now) {
-    Heard& heard = heard_[host];
+  /// What a report says about the host's process.
+  struct Hearing {
+    /// Whether this incarnation is heard for the first time, or again after a silence.
+    bool is_new = false;
+    /// Incarnation that it replaces; empty when there is none.
     IncarnationId replaced;
-    if (heard.incarnation != incarnation) replaced = heard.incarnation;
+  };
+
+  Hearing Hear(const HostId& host, const IncarnationId& incarnation, MonotonicTime now) {
+    Heard& heard = heard_[host];
+    Hearing hearing{heard.incarnation != incarnation, {}};
+    if (hearing.is_new) hearing.replaced = heard.incarnation;
     heard = {incarnation, now};
-    return replaced;
+    return hearing;
   }
 
   /// Incarnations that have been silent for `limit`; each is named once.
--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -1,5 +1,7 @@
 #include "bamboodock/command/router/rollout_desk.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace bamboodock {
@@ -154,6 +156,17 @@
   return situation;
 }
 
+void RolloutDesk::SetShare(Rollout& rollout, const RolloutSituation& situation) {
+  const double share = NewVersionShare(schedule_, situation).value();
+  if (share == rollout.share) return;
+  rollout.share = share;
+  log_.Write(Event::kRolloutShareChanged, RequestId(),
+             fmt::format("service={} target={} share={:.2f} progress={:.2f} answers={} "
+                         "open_at_old={}",
+                         rollout.order.service.value(), rollout.order.target.value(), share,
+                         situation.progress, situation.answers, situation.open_at_old));
+}
+
 RolloutProgress RolloutDesk::FirstProgress(const Rollout& rollout, std::chrono::milliseconds now) {
   RolloutProgress progress;
   progress.service = rollout.order.service;
@@ -176,11 +189,18 @@
     }
     EvidenceCounters total = rollout.own;
     for (const auto& [entry, evidence] : rollout.others) total += evidence.answers;
+    const bool was_bad = rollout.bad;
     if (rollout.guard.Observe(total)) rollout.bad = true;
+    if (rollout.bad && !was_bad) {
+      log_.Write(Event::kRolloutJudgedBad, RequestId(),
+                 fmt::format("service={} target={} answers={} errors={} slow={}", service.value(),
+                             rollout.order.target.value(), total.answers, total.errors,
+                             total.slow));
+    }
     const auto open = open_at_old.find(service);
     const RolloutSituation situation =
         Situation(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
-    rollout.share = NewVersionShare(schedule_, situation).value();
+    SetShare(rollout, situation);
     const RolloutState next = NextState(schedule_, situation);
     if (next == situation.state) continue;
     RolloutProgress changed = *rollout.progress;
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/rollout_guard.h"
 #include "bamboodock/policy/rollout_schedule.h"
 #include "bamboodock/routing/attempt_plan.h"
@@ -26,7 +27,7 @@
 /// under the condition that it has not changed, so two entries that decide at once do no harm.
 class RolloutDesk {
  public:
-  explicit RolloutDesk(const ExposureLimits& limits) : limits_(limits) {}
+  RolloutDesk(const ExposureLimits& limits, EventLog& log) : limits_(limits), log_(log) {}
 
   void Order(const RolloutOrder& order);
   void Cancel(const ServiceId& service);
@@ -88,11 +89,13 @@
     std::unordered_map<SessionHash, MonotonicTime> held_back;
   };
 
+  void SetShare(Rollout& rollout, const RolloutSituation& situation);
   RolloutSituation Situation(const Rollout& rollout, std::chrono::milliseconds store_now,
                              std::uint64_t own_open) const;
   static RolloutProgress FirstProgress(const Rollout& rollout, std::chrono::milliseconds now);
 
   ExposureLimits limits_;
+  EventLog& log_;
   RolloutSchedule schedule_;
   std::map<ServiceId, Rollout> rollouts_;
   std::map<ServiceId, RolloutProgress> progress_;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -84,7 +84,7 @@
       random_(random),
       log_(log),
       pool_(identity_.availability_zone, limits.cold_overrun, limits.cold_tolerance),
-      rollouts_(limits.exposure),
+      rollouts_(limits.exposure, log),
       sessions_(limits.session_time),
       peers_(identity_.host) {}
 
@@ -369,8 +369,13 @@
 }
 
 void RouteState::Apply(const PeerReport& report) {
-  const IncarnationId replaced = peers_.Hear(report.host, report.incarnation, clock_.Now());
-  if (!replaced.empty()) rollouts_.Forget(replaced);
+  const auto hearing = peers_.Hear(report.host, report.incarnation, clock_.Now());
+  if (!hearing.replaced.empty()) rollouts_.Forget(hearing.replaced);
+  if (hearing.is_new) {
+    log_.Write(Event::kPeerHeard, RequestId(),
+               fmt::format("host={} incarnation={}", report.host.value(),
+                           report.incarnation.value()));
+  }
   const MonotonicTime until = clock_.Now() + limits_.session_time;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -80,6 +80,8 @@
     Row{Event::kCallerRejected, "caller_rejected"},
     Row{Event::kLinesDropped, "lines_dropped"},
     Row{Event::kReadinessChanged, "readiness_changed"},
+    Row{Event::kPeerHeard, "peer_heard"},
+    Row{Event::kRolloutShareChanged, "rollout_share_changed"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -83,6 +83,8 @@
   kCallerRejected = 721,
   kLinesDropped = 722,
   kReadinessChanged = 723,
+  kPeerHeard = 724,
+  kRolloutShareChanged = 725,
 };
 
 /// Stable name of an event, for example "attempt_admitted".
--- /dev/null
+++ b/test/codec/peer_codec_test.cc
@@ -0,0 +1,48 @@
+#include "bamboodock/codec/peer_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "bamboodock/policy/random.h"
+
+namespace bamboodock {
+
+class PeerCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerCodecTest);
+  CPPUNIT_TEST(ReportSurvivesTheDatagram);
+  CPPUNIT_TEST(ForeignDatagramsAreRejected);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against evidence that the other entries never see.
+  void ReportSurvivesTheDatagram() {
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}};
+    RolloutEvidence evidence{ServiceId("s1"), 41, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
+    evidence.answers.answers = 12;
+    evidence.answers.errors = 2;
+    evidence.answers.slow = 1;
+    report.rollouts.push_back(evidence);
+    const auto read = DecodePeerReport(EncodePeerReport(report));
+    CPPUNIT_ASSERT(read && read->host == report.host && read->incarnation == report.incarnation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->rollouts.size());
+    CPPUNIT_ASSERT(read->rollouts[0].service == evidence.service);
+    CPPUNIT_ASSERT(read->rollouts[0].order_revision == 41);
+    CPPUNIT_ASSERT(read->rollouts[0].answers == evidence.answers);
+    CPPUNIT_ASSERT(read->rollouts[0].open_at_old == 3);
+    CPPUNIT_ASSERT(read->rollouts[0].held_back == evidence.held_back);
+  }
+
+  // Guards against datagrams of other programs that end the process.
+  void ForeignDatagramsAreRejected() {
+    Random random(7);
+    for (int round = 0; round < 2000; ++round) {
+      std::string bytes(random.Below(60), '\0');
+      for (char& byte : bytes) byte = static_cast<char>(random.Below(256));
+      const auto read = DecodePeerReport(bytes);
+      CPPUNIT_ASSERT(!read || !read->host.value().empty() || read->rollouts.empty());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerCodecTest);
+
+}  // namespace bamboodock
