--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -81,6 +81,7 @@
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) return false;
   const Rollout& rollout = found->second;
+  if (rollout.progress && rollout.progress->state == RolloutState::kCompleted) return false;
   return rollout.bad || !rollout.progress || rollout.progress->state == RolloutState::kRolledBack;
 }
 
@@ -187,6 +188,10 @@
       writes.push_back(first);
       continue;
     }
+    if (rollout.progress->state == RolloutState::kCompleted) {
+      rollout.share = 1;
+      continue;
+    }
     EvidenceCounters total = rollout.own;
     for (const auto& [entry, evidence] : rollout.others) total += evidence.answers;
     const bool was_bad = rollout.bad;
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -70,10 +70,11 @@
                                     const std::map<ServiceId, std::uint64_t>& open_at_old);
 
  private:
-  /// Errors as in any rollout. Engines that read long prompts are slow now and then, so only a
-  /// version of which a third of the answers are slow counts as slow.
+  /// Errors as in any rollout. An eighth of the answers of a sound engine that reads long prompts
+  /// are slow, more while its caches are empty, so only a version that is slow far more often
+  /// counts as slow.
   static constexpr RolloutLimits kGuardLimits{
-      {Ratio(0.01), Ratio(0.10)}, {Ratio(0.10), Ratio(0.25)}, {Ratio(0.10), Ratio(0.35)}};
+      {Ratio(0.01), Ratio(0.10)}, {Ratio(0.10), Ratio(0.25)}, {Ratio(0.20), Ratio(0.45)}};
 
   struct Rollout {
     RolloutOrder order;
