Compare a new version with the old one at the same time; try it out on few endpoints

Change: a pooled two-proportion test of the new version's failures and slow answers against the old one's, from all entries; the trial uses as small a share of the endpoints as of the traffic, so that each bears its usual load.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -7,15 +7,25 @@
 
 using Json = nlohmann::json;
 
+Json EncodeCounters(const EvidenceCounters& counters) {
+  return Json::array({counters.answers, counters.errors, counters.slow});
+}
+
+EvidenceCounters DecodeCounters(const Json& json) {
+  EvidenceCounters counters;
+  counters.answers = json.at(0).get<std::uint64_t>();
+  counters.errors = json.at(1).get<std::uint64_t>();
+  counters.slow = json.at(2).get<std::uint64_t>();
+  return counters;
+}
+
 Json EncodeEvidence(const RolloutEvidence& evidence) {
-  const EvidenceCounters& answers = evidence.answers;
   Json held_back = Json::array();
   for (const SessionHash hash : evidence.held_back) held_back.push_back(hash.value());
   return {evidence.service.value(),
           evidence.order_revision,
-          answers.answers,
-          answers.errors,
-          answers.slow,
+          EncodeCounters(evidence.answers),
+          EncodeCounters(evidence.old_answers),
           evidence.open_at_old,
           held_back};
 }
@@ -24,11 +34,10 @@
   RolloutEvidence evidence;
   evidence.service = ServiceId(json.at(0).get<std::string>());
   evidence.order_revision = json.at(1).get<std::uint64_t>();
-  evidence.answers.answers = json.at(2).get<std::uint64_t>();
-  evidence.answers.errors = json.at(3).get<std::uint64_t>();
-  evidence.answers.slow = json.at(4).get<std::uint64_t>();
-  evidence.open_at_old = json.at(5).get<std::uint64_t>();
-  for (const Json& hash : json.at(6)) evidence.held_back.emplace_back(hash.get<std::uint32_t>());
+  evidence.answers = DecodeCounters(json.at(2));
+  evidence.old_answers = DecodeCounters(json.at(3));
+  evidence.open_at_old = json.at(4).get<std::uint64_t>();
+  for (const Json& hash : json.at(5)) evidence.held_back.emplace_back(hash.get<std::uint32_t>());
   return evidence;
 }
 
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -136,23 +136,38 @@
   return nullptr;
 }
 
+void EndpointPool::Narrow(std::vector<PooledEndpoint*>& usable, const EndpointNeed& need) {
+  if (need.spread.value() >= 1 || usable.size() < 2) return;
+  const std::uint64_t key =
+      XXH3_64bits(need.service->id.value().data(), need.service->id.value().size());
+  std::sort(usable.begin(), usable.end(), [&](PooledEndpoint* a, PooledEndpoint* b) {
+    return RendezvousWeight(a->record.id, key) > RendezvousWeight(b->record.id, key);
+  });
+  const double kept = std::round(need.spread.value() * static_cast<double>(usable.size()));
+  usable.resize(static_cast<std::size_t>(std::max(1.0, kept)));
+}
+
 PooledEndpoint* EndpointPool::Choose(const EndpointNeed& need, Random& random, MonotonicTime now) {
   const ColdBound bound{need.service->cold_rate, cold_overrun_, cold_tolerance_};
   const bool limited = bound.rate.value() > 0;
   const std::uint32_t share = limited ? ColdShare(bound, need.entries) : 0;
   // Warm endpoints may turn cold unnoticed, so those below the cold share go first.
+  std::vector<PooledEndpoint*> usable;
+  for (auto& [id, endpoint] : endpoints_) {
+    if (Usable(endpoint, need)) usable.push_back(&endpoint);
+  }
+  Narrow(usable, need);
   std::vector<PooledEndpoint*> calm;
   std::vector<PooledEndpoint*> busy;
   std::vector<PooledEndpoint*> avoided;
-  for (auto& [id, endpoint] : endpoints_) {
-    if (!Usable(endpoint, need)) continue;
-    const bool below = !limited || endpoint.arrivals.Count(now) < share;
-    const bool cold = now < endpoint.cold_until;
+  for (PooledEndpoint* endpoint : usable) {
+    const bool below = !limited || endpoint->arrivals.Count(now) < share;
+    const bool cold = now < endpoint->cold_until;
     if (limited && cold && !below) continue;
-    if (now < endpoint.avoid_until) {
-      if (below) avoided.push_back(&endpoint);
+    if (now < endpoint->avoid_until) {
+      if (below) avoided.push_back(endpoint);
     } else {
-      (below ? calm : busy).push_back(&endpoint);
+      (below ? calm : busy).push_back(endpoint);
     }
   }
   std::vector<PooledEndpoint*>& candidates = !calm.empty() ? calm : !busy.empty() ? busy : avoided;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -49,6 +49,9 @@
   /// Tokens of the prompt's shared parts, which an endpoint that has them need not read.
   Tokens shared;
   std::uint32_t entries = 1;
+  /// Share of the usable endpoints that may be chosen; below 1 while a version is tried out, so
+  /// that each of them bears its usual load.
+  Ratio spread{1.0};
 };
 
 /// All registered endpoints with their load and health; owned by the route duty.
@@ -86,6 +89,8 @@
   bool Usable(const PooledEndpoint& endpoint, const EndpointNeed& need) const;
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
+  /// Keeps the endpoints of highest rank for the need's service, alike at all entries.
+  static void Narrow(std::vector<PooledEndpoint*>& usable, const EndpointNeed& need);
   PooledEndpoint* Preferred(const std::vector<PooledEndpoint*>& candidates,
                             const EndpointNeed& need, MonotonicTime now) const;
   /// The endpoint in the lifetime that is meant; null when it is gone or has restarted.
--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "bamboodock/policy/version_comparison.h"
+
 namespace bamboodock {
 namespace {
 
@@ -48,8 +50,11 @@
   if (rollout.order.revision != evidence.order_revision) return;
   RolloutEvidence& held = rollout.others[entry];
   const EvidenceCounters newest = EvidenceCounters::Newer(held.answers, evidence.answers);
+  const EvidenceCounters newest_old =
+      EvidenceCounters::Newer(held.old_answers, evidence.old_answers);
   held = evidence;
   held.answers = newest;
+  held.old_answers = newest_old;
 }
 
 void RolloutDesk::Forget(const IncarnationId& entry) {
@@ -119,8 +124,9 @@
 
 void RolloutDesk::OnReport(const AttemptReport& report, bool slow) {
   const auto found = rollouts_.find(report.service);
-  if (found == rollouts_.end() || found->second.order.target != report.version) return;
-  EvidenceCounters& own = found->second.own;
+  if (found == rollouts_.end()) return;
+  Rollout& rollout = found->second;
+  EvidenceCounters& own = rollout.order.target == report.version ? rollout.own : rollout.own_old;
   const bool failed =
       report.outcome == AttemptOutcome::kFailure || report.outcome == AttemptOutcome::kBroken;
   const bool silent = report.outcome == AttemptOutcome::kSilent;
@@ -136,7 +142,7 @@
 std::vector<RolloutEvidence> RolloutDesk::Evidence() const {
   std::vector<RolloutEvidence> evidence;
   for (const auto& [service, rollout] : rollouts_) {
-    evidence.push_back({service, rollout.order.revision, rollout.own, 0, {}});
+    evidence.push_back({service, rollout.order.revision, rollout.own, rollout.own_old, 0, {}});
   }
   return evidence;
 }
@@ -193,14 +199,19 @@
       continue;
     }
     EvidenceCounters total = rollout.own;
-    for (const auto& [entry, evidence] : rollout.others) total += evidence.answers;
+    EvidenceCounters old = rollout.own_old;
+    for (const auto& [entry, evidence] : rollout.others) {
+      total += evidence.answers;
+      old += evidence.old_answers;
+    }
     const bool was_bad = rollout.bad;
-    if (rollout.guard.Observe(total)) rollout.bad = true;
+    rollout.bad = was_bad || IsWorseVersion(total, old);
     if (rollout.bad && !was_bad) {
       log_.Write(Event::kRolloutJudgedBad, RequestId(),
-                 fmt::format("service={} target={} answers={} errors={} slow={}", service.value(),
-                             rollout.order.target.value(), total.answers, total.errors,
-                             total.slow));
+                 fmt::format("service={} target={} answers={} errors={} slow={} "
+                             "old_answers={} old_errors={} old_slow={}",
+                             service.value(), rollout.order.target.value(), total.answers,
+                             total.errors, total.slow, old.answers, old.errors, old.slow));
     }
     const auto open = open_at_old.find(service);
     const RolloutSituation situation =
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "bamboodock/observe/event_log.h"
-#include "bamboodock/policy/rollout_guard.h"
 #include "bamboodock/policy/rollout_schedule.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/operator_orders.h"
@@ -70,18 +69,12 @@
                                     const std::map<ServiceId, std::uint64_t>& open_at_old);
 
  private:
-  /// Errors as in any rollout. An eighth of the answers of a sound engine that reads long prompts
-  /// are slow, more while its caches are empty, so only a version that is slow far more often
-  /// counts as slow.
-  static constexpr RolloutLimits kGuardLimits{
-      {Ratio(0.01), Ratio(0.10)}, {Ratio(0.10), Ratio(0.25)}, {Ratio(0.20), Ratio(0.45)}};
-
   struct Rollout {
     RolloutOrder order;
     std::optional<RolloutProgress> progress;
-    RolloutGuard guard{kGuardLimits};
     bool bad = false;
     EvidenceCounters own;
+    EvidenceCounters own_old;
     std::unordered_map<IncarnationId, RolloutEvidence> others;
     /// Requests of this entry since the order, and those sent to the target.
     std::uint64_t requests = 0;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -169,19 +169,21 @@
   const auto versions = pool_.Versions(service);
   auto known = baseline_.find(service);
   if (known == baseline_.end() || !versions.contains(known->second)) {
-    if (versions.empty()) return {[](const VersionId&) { return true; }, false};
+    if (versions.empty()) return {[](const VersionId&) { return true; }, false, Ratio(1)};
     const auto most = std::max_element(versions.begin(), versions.end(),
                                        [](auto& a, auto& b) { return a.second < b.second; });
     known = baseline_.insert_or_assign(service, most->first).first;
   }
   if (versions.size() <= 1) {
     unordered_since_.erase(service);
-    return {[](const VersionId&) { return true; }, false};
+    return {[](const VersionId&) { return true; }, false, Ratio(1)};
   }
   const MonotonicTime now = clock_.Now();
   const MonotonicTime since = unordered_since_.try_emplace(service, now).first->second;
-  if (now - since > kUnorderedVersionDelay) return {[](const VersionId&) { return true; }, false};
-  return {[version = known->second](const VersionId& other) { return other == version; }, false};
+  if (now - since > kUnorderedVersionDelay)
+    return {[](const VersionId&) { return true; }, false, Ratio(1)};
+  return {[version = known->second](const VersionId& other) { return other == version; }, false,
+          Ratio(1)};
 }
 
 RouteState::VersionChoice RouteState::RolloutChoice(const PlanQuery& query,
@@ -191,21 +193,22 @@
   const VersionId target = order.target;
   const auto only = [target](const VersionId& other) { return other == target; };
   const auto old = [target](const VersionId& other) { return other != target; };
-  if (rollouts_.IsTargetOnly(service)) return {only, false};
-  if (rollouts_.IsTargetExcluded(service)) return {old, false};
+  if (rollouts_.IsTargetOnly(service)) return {only, false, Ratio(1)};
+  if (rollouts_.IsTargetExcluded(service)) return {old, false, Ratio(1)};
   const RequestTraits& traits = query.request->traits;
   const auto pinned =
       traits.session.empty() ? std::nullopt : sessions_.Find(service, traits.session, clock_.Now());
-  if (pinned && *pinned == target) return {only, false};
+  const bool in_trial = rollouts_.InTrial(service);
+  const Ratio spread = in_trial ? rollouts_.trial_share() : Ratio(1);
+  if (pinned && *pinned == target) return {only, false, spread};
   const std::string& unit =
       traits.session.empty() ? traits.attempt.value() : traits.session.value();
   const auto prefers = rollouts_.PrefersTarget(service, Draw(unit), peers_.Entries());
-  const bool in_trial = rollouts_.InTrial(service);
   const bool held_back = !traits.session.empty() &&
                          rollouts_.IsHeldBack(service, ShortHash(traits.session), clock_.Now());
-  if ((pinned || held_back) && in_trial) return {old, false};
-  if (prefers.value_or(false) && pool_.HasVersion(service, target)) return {only, in_trial};
-  return {old, !in_trial};
+  if ((pinned || held_back) && in_trial) return {old, false, Ratio(1)};
+  if (prefers.value_or(false) && pool_.HasVersion(service, target)) return {only, in_trial, spread};
+  return {old, !in_trial, Ratio(1)};
 }
 
 RouteState::VersionChoice RouteState::ChooseVersion(const PlanQuery& query,
@@ -227,9 +230,11 @@
   need.affinity = AffinityKey(request.traits);
   need.shared = SharedTokens(request.traits);
   need.entries = peers_.Entries();
+  need.spread = choice.spread;
   PooledEndpoint* endpoint = pool_.Choose(need, random_, now);
   if (endpoint == nullptr && choice.may_fall_back) {
     need.allows_version = [](const VersionId&) { return true; };
+    need.spread = Ratio(1);
     endpoint = pool_.Choose(need, random_, now);
   }
   if (query.reason == PlanReason::kFirst) budget.OnRequest(now);
@@ -372,9 +377,9 @@
   const auto hearing = peers_.Hear(report.host, report.incarnation, clock_.Now());
   if (!hearing.replaced.empty()) rollouts_.Forget(hearing.replaced);
   if (hearing.is_new) {
-    log_.Write(Event::kPeerHeard, RequestId(),
-               fmt::format("host={} incarnation={}", report.host.value(),
-                           report.incarnation.value()));
+    log_.Write(
+        Event::kPeerHeard, RequestId(),
+        fmt::format("host={} incarnation={}", report.host.value(), report.incarnation.value()));
   }
   const MonotonicTime until = clock_.Now() + limits_.session_time;
   for (const RolloutEvidence& evidence : report.rollouts) {
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -61,6 +61,8 @@
     std::function<bool(const VersionId&)> allows;
     /// Whether another version may be taken when no endpoint of this one is usable.
     bool may_fall_back = false;
+    /// Share of the usable endpoints that may be chosen.
+    Ratio spread{1.0};
   };
 
   PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail) const;
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -18,6 +18,8 @@
   /// Revision of the order; evidence of an older order is void.
   std::uint64_t order_revision = 0;
   EvidenceCounters answers;
+  /// Answers of the other versions since the order.
+  EvidenceCounters old_answers;
   /// Open attempts at other versions than the target.
   std::uint64_t open_at_old = 0;
   /// Sessions among those to try the target out that ran on another version lately; they stay there
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -16,10 +16,12 @@
   // Guards against evidence that the other entries never see.
   void ReportSurvivesTheDatagram() {
     PeerReport report{HostId("h1"), IncarnationId("i1"), {}};
-    RolloutEvidence evidence{ServiceId("s1"), 41, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
+    RolloutEvidence evidence{
+        ServiceId("s1"), 41, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
     evidence.answers.answers = 12;
     evidence.answers.errors = 2;
     evidence.answers.slow = 1;
+    evidence.old_answers.answers = 90;
     report.rollouts.push_back(evidence);
     const auto read = DecodePeerReport(EncodePeerReport(report));
     CPPUNIT_ASSERT(read && read->host == report.host && read->incarnation == report.incarnation);
@@ -27,6 +29,7 @@
     CPPUNIT_ASSERT(read->rollouts[0].service == evidence.service);
     CPPUNIT_ASSERT(read->rollouts[0].order_revision == 41);
     CPPUNIT_ASSERT(read->rollouts[0].answers == evidence.answers);
+    CPPUNIT_ASSERT(read->rollouts[0].old_answers == evidence.old_answers);
     CPPUNIT_ASSERT(read->rollouts[0].open_at_old == 3);
     CPPUNIT_ASSERT(read->rollouts[0].held_back == evidence.held_back);
   }
--- a/test/command/router/rollout_desk_test.cc
+++ b/test/command/router/rollout_desk_test.cc
@@ -50,7 +50,7 @@
   // Guards against an entry with little traffic that keeps the old version because it has seen too
   // few answers itself (quiet-1 of EMVA, seed 487797827099).
   void EvidenceOfOtherEntriesCounts() {
-    RolloutEvidence evidence{kService, 41, {}, 0, {}};
+    RolloutEvidence evidence{kService, 41, {}, {}, 0, {}};
     evidence.answers.answers = 20;
     desk_.Apply(IncarnationId("other"), evidence);
     desk_.Tick(milliseconds(1000 + 23000), {});
@@ -59,7 +59,7 @@
 
   // Guards against counts that go back when an entry restarts.
   void RestartedEntryKeepsItsEvidence() {
-    RolloutEvidence evidence{kService, 41, {}, 4, {}};
+    RolloutEvidence evidence{kService, 41, {}, {}, 4, {}};
     evidence.answers.answers = 20;
     desk_.Apply(IncarnationId("first"), evidence);
     desk_.Tick(milliseconds(2000), {});
--- /dev/null
+++ b/test/policy/version_comparison_test.cc
@@ -0,0 +1,81 @@
+#include "bamboodock/policy/version_comparison.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "bamboodock/policy/random.h"
+
+namespace bamboodock {
+namespace {
+
+/// Answers of a trial until the version is judged worse; `limit` when it never is.
+int AnswersUntilJudged(Random& random, double bad, double slow, double old_bad, double old_slow,
+                       int limit) {
+  EvidenceCounters target;
+  EvidenceCounters old;
+  for (int answer = 1; answer <= limit; ++answer) {
+    ++target.answers;
+    if (random.Uniform() < bad) ++target.errors;
+    if (random.Uniform() < slow) ++target.slow;
+    for (int i = 0; i < 9; ++i) {
+      ++old.answers;
+      if (random.Uniform() < old_bad) ++old.errors;
+      if (random.Uniform() < old_slow) ++old.slow;
+    }
+    if (IsWorseVersion(target, old)) return answer;
+  }
+  return limit;
+}
+
+}  // namespace
+
+class VersionComparisonTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(VersionComparisonTest);
+  CPPUNIT_TEST(GoodVersionsAreKept);
+  CPPUNIT_TEST(FailingVersionsAreFoundSoon);
+  CPPUNIT_TEST(SlowVersionsAreFoundInTheTrial);
+  CPPUNIT_TEST(FaultsOfBothVersionsCancelOut);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against rollouts of good versions that are rolled back: at most 1 in 100.
+  void GoodVersionsAreKept() {
+    int judged = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+      Random random(seed);
+      if (AnswersUntilJudged(random, 0.005, 0.12, 0.005, 0.12, 150) < 150) ++judged;
+    }
+    CPPUNIT_ASSERT(judged <= 4);
+  }
+
+  // Guards against a version that fails half of its requests and stays for long.
+  void FailingVersionsAreFoundSoon() {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      Random random(seed);
+      CPPUNIT_ASSERT(AnswersUntilJudged(random, 0.5, 0.12, 0.005, 0.12, 200) <= 30);
+    }
+  }
+
+  // Guards against a slow version that gets all the traffic: 47 answers come in a trial of 12 s.
+  void SlowVersionsAreFoundInTheTrial() {
+    int late = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      Random random(seed);
+      if (AnswersUntilJudged(random, 0.005, 0.5, 0.005, 0.12, 200) > 47) ++late;
+    }
+    CPPUNIT_ASSERT(late <= 10);
+  }
+
+  // Guards against a rollback because a service fails some requests in every version: 1 in 100.
+  void FaultsOfBothVersionsCancelOut() {
+    int judged = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      Random random(seed);
+      if (AnswersUntilJudged(random, 0.14, 0.12, 0.14, 0.12, 100) < 100) ++judged;
+    }
+    CPPUNIT_ASSERT(judged <= 2);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VersionComparisonTest);
+
+}  // namespace bamboodock
