Give up a silent attempt only for a planned one; spend the large model by load

Requests waited in the queues of engines that read prompts for the largest model; retries after 2 s read them again. Change: the wait for bytes leaves the connection as it is, and another attempt is planned first; entries tell each other which endpoints have prompts to read; the confidence below which the largest model answers falls with that load; an endpoint that has failed lately gets less time.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -48,7 +48,11 @@
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts.push_back(EncodeEvidence(evidence));
   }
-  const Json message{report.host.value(), report.incarnation.value(), rollouts};
+  Json pending = Json::array();
+  for (const PendingWork& work : report.pending) {
+    pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
+  }
+  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
@@ -61,6 +65,10 @@
     report.host = HostId(message.at(0).get<std::string>());
     report.incarnation = IncarnationId(message.at(1).get<std::string>());
     for (const Json& evidence : message.at(2)) report.rollouts.push_back(DecodeEvidence(evidence));
+    for (const Json& work : message.at(3)) {
+      report.pending.push_back(
+          {EndpointId(work.at(0).get<std::string>()), Tokens(work.at(1).get<std::uint64_t>())});
+    }
     return report;
   } catch (const Json::exception&) {
     // The caller logs the datagram; any host can send one.
--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -1,7 +1,10 @@
 #include "bamboodock/command/router/endpoint_call.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <limits>
 #include <utility>
 
@@ -11,6 +14,15 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kLargestHead = 32768;
+/// Wait for bytes with a limit; shared with the handler, which may run after the wait has ended.
+struct ByteWait : RefCounted<ByteWait> {
+  explicit ByteWait(const asio::any_io_executor& executor) : timer(executor) {}
+
+  asio::steady_timer timer;
+  asio::cancellation_signal stop;
+  bool ended = false;
+};
+
 /// Answers with these codes precede the answer itself.
 constexpr int kFirstFinalCode = 200;
 
@@ -51,20 +63,40 @@
   // A failure shows in the read of the answer, which an endpoint may send before it has read all.
 }
 
-asio::awaitable<CallHead> EndpointCall::Send(Ref<const CallerRequest> request,
-                                             std::vector<HttpHeader> added,
-                                             std::chrono::milliseconds timeout) {
-  stream_.expires_after(timeout);
-  // Written beside the read: an endpoint may answer before it has taken the whole body.
-  asio::co_spawn(stream_.get_executor(), Write(Ref<EndpointCall>(this), request, std::move(added)),
+void EndpointCall::Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added) {
+  head_only_ = request->method == "HEAD";
+  asio::co_spawn(stream_.get_executor(),
+                 Write(Ref<EndpointCall>(this), std::move(request), std::move(added)),
                  asio::detached);
+}
+
+asio::awaitable<CallStatus> EndpointCall::AwaitBytes(std::chrono::milliseconds timeout) {
+  if (buffer_.size() > 0) co_return CallStatus::kOk;
+  auto wait = MakeRef<ByteWait>(stream_.get_executor());
+  wait->timer.expires_after(timeout);
+  stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      asio::bind_cancellation_slot(wait->stop.slot(), [wait](const SocketError&) {
+        // An error is seen by the read that follows.
+        wait->ended = true;
+        wait->timer.cancel();
+      }));
+  SocketError error;
+  co_await wait->timer.async_wait(StoreError(error));
+  if (!wait->ended) wait->stop.emit(asio::cancellation_type::all);
+  if (cancelled_) co_return CallStatus::kCancelled;
+  co_return wait->ended ? CallStatus::kOk : CallStatus::kSilent;
+}
+
+asio::awaitable<CallHead> EndpointCall::ReadHead(std::chrono::milliseconds timeout) {
+  stream_.expires_after(timeout);
   CallHead head;
   SocketError error;
   do {
     parser_.emplace();
     parser_->header_limit(kLargestHead);
     parser_->body_limit(boost::none);
-    parser_->skip(request->method == "HEAD");
+    parser_->skip(head_only_);
     co_await http::async_read_header(stream_, buffer_, *parser_, StoreError(error));
     if (error) {
       head.status = Classify(error);
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -50,9 +50,12 @@
   explicit EndpointCall(const asio::any_io_executor& executor) : stream_(executor) {}
 
   asio::awaitable<CallStatus> Open(Address endpoint, std::chrono::milliseconds timeout);
-  /// Sends the request and reads the head of the answer.
-  asio::awaitable<CallHead> Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added,
-                                 std::chrono::milliseconds timeout);
+  /// Starts to send the request. An endpoint may answer before it has taken the whole body.
+  void Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added);
+  /// Waits for bytes of the answer and leaves the call as it is: `kSilent` when none came.
+  asio::awaitable<CallStatus> AwaitBytes(std::chrono::milliseconds timeout);
+  /// Reads the head of the answer; a timeout closes the connection.
+  asio::awaitable<CallHead> ReadHead(std::chrono::milliseconds timeout);
   /// Reads what has arrived of the body, at least one byte unless it has ended.
   asio::awaitable<CallPiece> Read(std::chrono::milliseconds timeout);
   /// Closes the connection; an endpoint drops the request when it sees this.
@@ -71,6 +74,8 @@
   std::optional<ResponseParser> parser_;
   std::array<char, 8192> chunk_{};
   bool cancelled_ = false;
+  /// Whether the answer to come has no body, as its request has the method HEAD.
+  bool head_only_ = false;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kRegistrationLag{1200};
 /// Weight of one report halves in this time, since other entries' requests end meanwhile.
 constexpr std::chrono::duration<double> kReportHalfLife{1.5};
+/// A report of pending work is void after this time; reports come more often.
+constexpr std::chrono::milliseconds kPendingLifetime{1000};
 /// Prompt tokens of the dearest model that hold an engine up as long as another request does.
 constexpr double kWorkPerRequest = 2000;
 /// Load up to which an endpoint with the prompt's shared parts in its cache is preferred: so many
@@ -103,10 +105,18 @@
   return std::find(tried.begin(), tried.end(), record.id) == tried.end();
 }
 
+double EndpointPool::PendingOfAll(const PooledEndpoint& endpoint, MonotonicTime now) {
+  double pending = static_cast<double>(endpoint.pending_work);
+  for (const auto& [entry, report] : endpoint.pending_elsewhere) {
+    if (now - report.second < kPendingLifetime) pending += static_cast<double>(report.first);
+  }
+  return pending;
+}
+
 double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
   const std::chrono::duration<double> age = now - endpoint.reported;
   return endpoint.in_flight + endpoint.others * std::exp2(-age / kReportHalfLife) +
-         static_cast<double>(endpoint.pending_work) / kWorkPerRequest;
+         PendingOfAll(endpoint, now) / kWorkPerRequest;
 }
 
 double EndpointPool::Score(PooledEndpoint& endpoint, MonotonicTime now) const {
@@ -262,6 +272,38 @@
   }
 }
 
+void EndpointPool::NotePending(const IncarnationId& entry, const std::vector<PendingWork>& pending,
+                               MonotonicTime now) {
+  for (auto& [id, endpoint] : endpoints_) endpoint.pending_elsewhere.erase(entry);
+  for (const PendingWork& work : pending) {
+    const auto found = endpoints_.find(work.endpoint);
+    if (found == endpoints_.end()) continue;
+    found->second.pending_elsewhere[entry] = {work.work.value(), now};
+  }
+}
+
+std::vector<PendingWork> EndpointPool::Pending(std::size_t most) const {
+  std::vector<PendingWork> pending;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.pending_work > 0) pending.push_back({id, Tokens(endpoint.pending_work)});
+  }
+  std::sort(pending.begin(), pending.end(),
+            [](const auto& a, const auto& b) { return a.work > b.work; });
+  if (pending.size() > most) pending.resize(most);
+  return pending;
+}
+
+double EndpointPool::MeanPending(const ServiceId& service, MonotonicTime now) const {
+  double total = 0;
+  std::size_t count = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.record.service != service || endpoint.record.draining) continue;
+    total += PendingOfAll(endpoint, now);
+    ++count;
+  }
+  return count == 0 ? 0 : total / static_cast<double>(count);
+}
+
 bool EndpointPool::IsSlow(const AttemptReport& report) const {
   const auto usual = latency_.find({report.route, report.model});
   if (usual == latency_.end()) return false;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -13,6 +13,7 @@
 #include "bamboodock/policy/sliding_count.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/endpoint_record.h"
+#include "bamboodock/routing/peer_report.h"
 
 namespace bamboodock {
 
@@ -23,6 +24,8 @@
   std::uint32_t in_flight = 0;
   /// Prompt tokens, weighted by price, of those that have not begun to answer.
   std::uint64_t pending_work = 0;
+  /// The same for the other entries, by their last reports.
+  std::map<IncarnationId, std::pair<std::uint64_t, MonotonicTime>> pending_elsewhere;
   /// Attempts of the other entries when the endpoint last reported, and when that was.
   double others = 0;
   MonotonicTime reported{};
@@ -73,6 +76,14 @@
   void OnHead(const HeadReport& report, MonotonicTime now);
   void OnReport(const AttemptReport& report, Duration cold_time, MonotonicTime now);
 
+  /// Replaces what the other entry reported before.
+  void NotePending(const IncarnationId& entry, const std::vector<PendingWork>& pending,
+                   MonotonicTime now);
+  /// Pending work of this entry, largest first, at most `most` endpoints.
+  std::vector<PendingWork> Pending(std::size_t most) const;
+  /// Mean of the pending work of all entries over the service's endpoints that take work.
+  double MeanPending(const ServiceId& service, MonotonicTime now) const;
+
   /// Whether the answer took several times as long as is usual for its route and model.
   bool IsSlow(const AttemptReport& report) const;
 
@@ -87,6 +98,7 @@
 
  private:
   bool Usable(const PooledEndpoint& endpoint, const EndpointNeed& need) const;
+  static double PendingOfAll(const PooledEndpoint& endpoint, MonotonicTime now);
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
   /// Keeps the endpoints of highest rank for the need's service, alike at all entries.
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{250};
-/// Reports go to the peers at every second tick.
-constexpr std::uint64_t kTicksPerReport = 2;
 
 }  // namespace
 
@@ -35,10 +33,8 @@
       log_.Write(Event::kStoreWriteFailed, RequestId(), "code=ring_full, tried again at next tick");
     }
   }
-  if (ticks_++ % kTicksPerReport == 0) {
-    // A report that finds no room is made up for by the next one.
-    static_cast<void>(outlets_.send_report(state_.OwnReport()));
-  }
+  // A report that finds no room is made up for by the next one.
+  static_cast<void>(outlets_.send_report(state_.OwnReport()));
   PublishStatus();
   return std::chrono::steady_clock::now() + kTickInterval;
 }
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -44,7 +44,6 @@
   EventLog& log_;
   SnapshotCell<RouterStatus> status_;
   bool ready_ = false;
-  std::uint64_t ticks_ = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -119,12 +119,13 @@
                       "code=ring_full: the course of an attempt was not counted");
 }
 
-asio::awaitable<PlanAnswer> RequestExchange::AskPlan(PlanReason reason, ModelId model) {
+asio::awaitable<PlanAnswer> RequestExchange::AskPlan(PlanReason reason, ModelId model,
+                                                     std::uint32_t confidence) {
   slot_ = MakeRef<PlanSlot>(executor_);
   slot_->timer().expires_after(kPlanTimeout);
   PlanAnswer answer;
   answer.refusal = {ResultCode::kRingFull, "planning ring", RunState::kNotRun, kRetryAfterFailure};
-  PlanQuery query{request_, reason, progress_, std::move(model), slot_};
+  PlanQuery query{request_, reason, progress_, std::move(model), confidence, slot_};
   if (!services_.post(std::move(query))) co_return answer;
   SocketError error;
   co_await slot_->timer().async_wait(StoreError(error));
@@ -137,6 +138,7 @@
   PlanAnswer answer = co_await AskPlan(PlanReason::kFirst, ModelId());
   while (true) {
     if (caller_closed_) {
+      if (planned_) answer.plan = std::move(planned_);
       if (answer.plan) {
         head_latency_.reset();
         Report(*answer.plan, AttemptOutcome::kCancelled, "caller closed before the send");
@@ -241,12 +243,40 @@
   attempt_began_ = services_.clock.Now();
   ++runs_;
   std::vector<HttpHeader> added = services_.protocol.AttemptHeaders(*request_, forward);
-  const auto wait = AtLeastOneMs(HeadWait(timing_, *progress_.route, Left(), last));
-  const CallHead head = co_await call_->Send(request_, std::move(added), wait);
+  call_->Send(request_, std::move(added));
+  const Duration patience = HeadWait(timing_, *progress_.route, plan.suspect, Left(), last);
+  const CallStatus waited = co_await AwaitBytes(patience);
+  if (planned_) co_return TakePlanned(plan, "no answer");
+  if (waited != CallStatus::kOk) co_return co_await OnNoHead(plan, waited);
+  const auto left = AtLeastOneMs(Left());
+  const CallHead head = co_await call_->ReadHead(left);
   if (head.status != CallStatus::kOk) co_return co_await OnNoHead(plan, head.status);
   co_return co_await OnHead(plan, head);
 }
 
+asio::awaitable<CallStatus> RequestExchange::AwaitBytes(Duration patience) {
+  const auto first_wait = AtLeastOneMs(patience);
+  const CallStatus first = co_await call_->AwaitBytes(first_wait);
+  if (first != CallStatus::kSilent || Left() <= Duration::zero()) co_return first;
+  if (CanRepeat()) {
+    const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
+    PlanAnswer answer = co_await AskPlan(reason, progress_.model);
+    planned_ = std::move(answer.plan);
+    if (planned_ || caller_closed_) co_return first;
+  }
+  const auto rest = AtLeastOneMs(Left());
+  co_return co_await call_->AwaitBytes(rest);
+}
+
+RequestExchange::Next RequestExchange::TakePlanned(const AttemptPlan& plan,
+                                                   std::string_view detail) {
+  call_->Cancel();
+  Report(plan, AttemptOutcome::kSilent, detail);
+  Next next = Next::With(std::move(*planned_));
+  planned_.reset();
+  return next;
+}
+
 asio::awaitable<RequestExchange::Next> RequestExchange::OnNoHead(const AttemptPlan& plan,
                                                                  CallStatus status) {
   call_->Cancel();
@@ -339,7 +369,7 @@
   if (!request_->traits.chooses_model || runs_ >= route.max_attempts) co_return std::nullopt;
   const auto better = services_.ladder.Next(route, plan.model, head.confidence);
   if (!better) co_return std::nullopt;
-  PlanAnswer answer = co_await AskPlan(PlanReason::kNextModel, *better);
+  PlanAnswer answer = co_await AskPlan(PlanReason::kNextModel, *better, *head.confidence);
   std::optional<AttemptPlan> planned = std::move(answer.plan);
   co_return planned;
 }
@@ -366,8 +396,10 @@
   while (true) {
     const Duration left = Left();
     if (left <= Duration::zero()) co_return CallStatus::kSilent;
-    const bool last = !CanRepeat();
-    const auto wait = AtLeastOneMs(PauseWait(timing_, *progress_.route, left, last));
+    const Duration patience = PauseWait(timing_, *progress_.route, left, !CanRepeat());
+    const CallStatus waited = co_await AwaitBytes(patience);
+    if (waited != CallStatus::kOk) co_return waited;
+    const auto wait = AtLeastOneMs(Left());
     const CallPiece piece = co_await call_->Read(wait);
     events_.Append(piece.bytes);
     std::string events = events_.Take();
@@ -392,8 +424,9 @@
     const bool sent = co_await writer_.End();
     co_return Next::Done(sent && writer_.keep_alive());
   }
-  Report(plan, caller_closed_ ? AttemptOutcome::kCancelled : OutcomeOf(status), "stream broke off");
   ++services_.counters.resumes;
+  if (planned_) co_return TakePlanned(plan, "stream silent");
+  Report(plan, caller_closed_ ? AttemptOutcome::kCancelled : OutcomeOf(status), "stream broke off");
   co_return co_await RetryOrFail(PlanReason::kResume, ResultCode::kAnswerIncomplete);
 }
 
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -41,17 +41,23 @@
       return {std::nullopt, reason, std::move(model), {}};
     }
     static Next With(AttemptPlan plan) {
-      return {std::nullopt, PlanReason::kNextModel, {}, std::move(plan)};
+      return {std::nullopt, PlanReason::kFirst, {}, std::move(plan)};
     }
   };
 
-  asio::awaitable<PlanAnswer> AskPlan(PlanReason reason, ModelId model);
+  asio::awaitable<PlanAnswer> AskPlan(PlanReason reason, ModelId model,
+                                      std::uint32_t confidence = 0);
   asio::awaitable<Next> Attempt(AttemptPlan plan);
   asio::awaitable<Next> OnHead(const AttemptPlan& plan, const CallHead& received);
   asio::awaitable<Next> OnNoHead(const AttemptPlan& plan, CallStatus status);
   asio::awaitable<Next> OnFailureAnswer(const AttemptPlan& plan, AnswerHead head);
   asio::awaitable<Next> RelayWhole(const AttemptPlan& plan, AnswerHead head);
   asio::awaitable<Next> RelayStream(const AttemptPlan& plan, AnswerHead head);
+  /// Waits for bytes. After `patience` without any, another attempt is planned, if one is possible;
+  /// the attempt in progress is given up only for a plan.
+  asio::awaitable<CallStatus> AwaitBytes(Duration patience);
+  /// Ends an attempt in favour of the one in `planned_`.
+  Next TakePlanned(const AttemptPlan& plan, std::string_view detail);
   /// Plan for a better model; empty when the answer is good enough or there is none.
   asio::awaitable<std::optional<AttemptPlan>> PlanBetterModel(const AttemptPlan& plan,
                                                               const AnswerHead& head);
@@ -91,6 +97,8 @@
   std::uint32_t not_run_ = 0;
   MonotonicTime attempt_began_{};
   std::optional<Duration> head_latency_;
+  /// Attempt that is to take the place of a silent one.
+  std::optional<AttemptPlan> planned_;
   /// Failure that an endpoint answered, kept while other endpoints are tried.
   std::optional<std::pair<AnswerHead, std::string>> endpoint_failure_;
 };
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -25,6 +25,8 @@
   RequestProgress progress;
   /// Model of the next attempt; empty when the route duty is to choose.
   ModelId model;
+  /// Confidence, 0 to 100, of the answer that the next model would replace.
+  std::uint32_t confidence = 0;
   Ref<PlanReceiver> receiver;
 };
 
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "bamboodock/policy/model_ladder.h"
-
 namespace bamboodock {
 namespace {
 
@@ -23,6 +21,12 @@
 /// An entry that has been silent for this long has no share in what others have open.
 constexpr std::chrono::milliseconds kPeerSilence{4000};
 
+/// Weight of recent failures from which an endpoint is suspect.
+constexpr double kSuspectWeight = 0.4;
+
+/// Endpoints whose pending work a report names, so that it fits a datagram.
+constexpr std::size_t kMostPending = 24;
+
 /// A version that no order names is used after this time, since orders and registrations come by
 /// different ways.
 constexpr std::chrono::milliseconds kUnorderedVersionDelay{4000};
@@ -86,7 +90,8 @@
       pool_(identity_.availability_zone, limits.cold_overrun, limits.cold_tolerance),
       rollouts_(limits.exposure, log),
       sessions_(limits.session_time),
-      peers_(identity_.host) {}
+      peers_(identity_.host),
+      ladder_(limits.least_confidence) {}
 
 Duration RouteState::ConfigAge() const { return clock_.Now() - config_covered_; }
 
@@ -115,6 +120,9 @@
   RequestProgress progress = query.progress;
   PlanAnswer begun = Begin(query, progress);
   if (begun.refusal.code != ResultCode::kOk) return begun;
+  if (query.reason == PlanReason::kNextModel && !IsBetterModelWorthIt(query, progress)) {
+    return Refuse(query, ResultCode::kOverloaded, "the answer of the smaller model is kept");
+  }
   return ChooseAttempt(query, std::move(progress));
 }
 
@@ -161,6 +169,13 @@
   return table_->FindService(route.services.back().service);
 }
 
+bool RouteState::IsBetterModelWorthIt(const PlanQuery& query,
+                                      const RequestProgress& progress) const {
+  const double pending = pool_.MeanPending(progress.service->id, clock_.Now());
+  const double least = ladder_.LeastConfidence(*progress.route, pending);
+  return query.confidence < least;
+}
+
 RepeatBudget& RouteState::Budget(const ServiceId& service) {
   return budgets_.try_emplace(service, limits_.repeats).first->second;
 }
@@ -265,6 +280,7 @@
   plan.started = endpoint->record.started;
   plan.version = version;
   plan.work = work;
+  plan.suspect = endpoint->answers.bad(now) > kSuspectWeight;
   if (request.traits.chooses_model) plan.model = model;
   const RoutedAccount* account = table_->FindAccount(request.traits.key);
   const bool ranked = account != nullptr && account->urgency.has_value();
@@ -381,6 +397,7 @@
         Event::kPeerHeard, RequestId(),
         fmt::format("host={} incarnation={}", report.host.value(), report.incarnation.value()));
   }
+  pool_.NotePending(report.incarnation, report.pending, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_time;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
@@ -408,7 +425,8 @@
 }
 
 PeerReport RouteState::OwnReport() const {
-  PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence()};
+  PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
+                    pool_.Pending(kMostPending)};
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOthers(evidence.service, order->target);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -12,6 +12,7 @@
 #include "bamboodock/command/router/session_pins.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
+#include "bamboodock/policy/model_ladder.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/repeat_budget.h"
 
@@ -73,6 +74,7 @@
                               const RolloutOrder& order);
   VersionChoice BaselineChoice(const ServiceId& service);
   const RoutedService* PickService(const PlanQuery& query, const Route& route) const;
+  bool IsBetterModelWorthIt(const PlanQuery& query, const RequestProgress& progress) const;
   Tokens Work(const CallerRequest& request, const RoutedService& service,
               const ModelId& model) const;
   RepeatBudget& Budget(const ServiceId& service);
@@ -95,6 +97,7 @@
   RolloutDesk rollouts_;
   SessionPins sessions_;
   PeerView peers_;
+  ModelLadder ladder_;
   std::map<ServiceId, RepeatBudget> budgets_;
   /// Version in force by service when no rollout says otherwise.
   std::map<ServiceId, VersionId> baseline_;
--- a/src/bamboodock/policy/attempt_timing.h
+++ b/src/bamboodock/policy/attempt_timing.h
@@ -15,19 +15,23 @@
   double plain_part = 0.65;
   /// Part of the latency objective within which a stream must begin. An engine that reads a long
   /// prompt is silent for seconds, and another would have to read it again.
-  double stream_part = 1.0;
+  double stream_part = 1.5;
+  /// The same when the endpoint has failed or been silent lately.
+  double suspect_stream_part = 0.5;
   /// Part of the pause objective after which a silent stream is continued elsewhere.
   double pause_part = 0.8;
 };
 
 /// Longest wait for the head of an answer.
 ///
+/// @param suspect Whether the endpoint has failed or been silent lately.
 /// @param left Time until the request is given up.
 /// @param last Whether no further attempt is possible.
-inline Duration HeadWait(const AttemptTiming& timing, const Route& route, Duration left,
-                         bool last) {
+inline Duration HeadWait(const AttemptTiming& timing, const Route& route, bool suspect,
+                         Duration left, bool last) {
   if (last || !route.Idempotent() || route.latency_objective <= Duration::zero()) return left;
-  const double part = route.kind == RouteKind::kStream ? timing.stream_part : timing.plain_part;
+  const double stream = suspect ? timing.suspect_stream_part : timing.stream_part;
+  const double part = route.kind == RouteKind::kStream ? stream : timing.plain_part;
   const std::chrono::duration<double> wait(part *
                                            std::chrono::duration<double>(route.latency_objective));
   return std::min(left, std::chrono::duration_cast<Duration>(wait));
--- a/src/bamboodock/policy/model_ladder.h
+++ b/src/bamboodock/policy/model_ladder.h
@@ -32,13 +32,25 @@
                               std::optional<std::uint32_t> confidence) const {
     const std::vector<ModelId>& models = route.models;
     if (models.size() < 2 || model == models.back() || !confidence) return std::nullopt;
-    const std::size_t rank = std::min<std::size_t>(route.urgency.value(),
-                                                   least_confidence_.size() - 1);
-    if (*confidence >= least_confidence_[rank]) return std::nullopt;
+    if (*confidence >= LeastConfidence(route, 0)) return std::nullopt;
     return models.back();
   }
 
+  /// Confidence below which an answer is dropped while engines have `pending` prompt tokens of the
+  /// largest model to read, on average. Under load the time of the large model is worth more.
+  double LeastConfidence(const Route& route, double pending) const {
+    const std::size_t rank =
+        std::min<std::size_t>(route.urgency.value(), least_confidence_.size() - 1);
+    const double load = (pending - kCalmPending) / (kFullPending - kCalmPending);
+    return least_confidence_[rank] * (1 - std::clamp(load, 0.0, 1.0));
+  }
+
  private:
+  /// Pending prompt tokens of an engine up to which the load does not count, and from which the
+  /// largest model is not used any more: about a quarter of a second and two seconds of reading.
+  static constexpr double kCalmPending = 4000;
+  static constexpr double kFullPending = 32000;
+
   std::vector<std::uint32_t> least_confidence_;
 };
 
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -50,6 +50,8 @@
   std::uint32_t engine_urgency = 5;
   /// Prompt tokens, weighted by the price of the model, that the endpoint has to read.
   Tokens work;
+  /// Whether the endpoint has failed or been silent lately, so that it gets less time.
+  bool suspect = false;
   /// The request must not be sent later: the knowledge behind the decision is too old by then.
   MonotonicTime valid_until;
 };
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -5,6 +5,7 @@
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/quantity.h"
+#include "bamboodock/core/units.h"
 #include "bamboodock/policy/evidence_counters.h"
 
 namespace bamboodock {
@@ -27,11 +28,18 @@
   std::vector<SessionHash> held_back;
 };
 
+/// Prompt tokens, weighted by price, that one endpoint has yet to read for an entry.
+struct PendingWork {
+  EndpointId endpoint;
+  Tokens work;
+};
+
 /// What an entry tells the others, several times a second.
 struct PeerReport {
   HostId host;
   IncarnationId incarnation;
   std::vector<RolloutEvidence> rollouts;
+  std::vector<PendingWork> pending;
 };
 
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -15,7 +15,8 @@
  public:
   // Guards against evidence that the other entries never see.
   void ReportSurvivesTheDatagram() {
-    PeerReport report{HostId("h1"), IncarnationId("i1"), {}};
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}};
+    report.pending.push_back({EndpointId("e1"), Tokens(12000)});
     RolloutEvidence evidence{
         ServiceId("s1"), 41, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
     evidence.answers.answers = 12;
@@ -26,6 +27,8 @@
     const auto read = DecodePeerReport(EncodePeerReport(report));
     CPPUNIT_ASSERT(read && read->host == report.host && read->incarnation == report.incarnation);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->rollouts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->pending.size());
+    CPPUNIT_ASSERT(read->pending[0].work == Tokens(12000));
     CPPUNIT_ASSERT(read->rollouts[0].service == evidence.service);
     CPPUNIT_ASSERT(read->rollouts[0].order_revision == 41);
     CPPUNIT_ASSERT(read->rollouts[0].answers == evidence.answers);
