--- a/src/bamboodock/command/router/network_duty.h
+++ b/src/bamboodock/command/router/network_duty.h
@@ -34,6 +34,8 @@
   void Stop();
 
   bool Post(PlannedAttempt planned) { return inbox_.TryPush(std::move(planned)); }
+  /// Port on which callers are served.
+  std::uint16_t caller_port() const { return callers_.local_endpoint().port(); }
   std::uint64_t open_requests() const { return services_.counters.open_requests; }
 
  private:
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -147,7 +147,9 @@
       LogEnd(Event::kCallerClosed, 0, "caller closed");
       co_return false;
     }
-    if (!answer.plan) co_return co_await Refuse(std::move(answer.refusal));
+    if (!answer.plan) {
+      co_return co_await Refuse(std::move(answer.refusal));
+    }
     AttemptPlan plan = std::move(*answer.plan);
     answer.plan.reset();
     Next next = co_await Attempt(std::move(plan));
@@ -247,10 +249,14 @@
   const Duration patience = HeadWait(timing_, *progress_.route, plan.suspect, Left(), last);
   const CallStatus waited = co_await AwaitBytes(patience);
   if (planned_) co_return TakePlanned(plan, "no answer");
-  if (waited != CallStatus::kOk) co_return co_await OnNoHead(plan, waited);
+  if (waited != CallStatus::kOk) {
+    co_return co_await OnNoHead(plan, waited);
+  }
   const auto left = AtLeastOneMs(Left());
   const CallHead head = co_await call_->ReadHead(left);
-  if (head.status != CallStatus::kOk) co_return co_await OnNoHead(plan, head.status);
+  if (head.status != CallStatus::kOk) {
+    co_return co_await OnNoHead(plan, head.status);
+  }
   co_return co_await OnHead(plan, head);
 }
 
@@ -309,8 +315,12 @@
     const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
     co_return co_await RetryOrFail(reason, ResultCode::kBadMessage);
   }
-  if (!head.Success()) co_return co_await OnFailureAnswer(plan, std::move(head));
-  if (IsStreamRoute()) co_return co_await RelayStream(plan, std::move(head));
+  if (!head.Success()) {
+    co_return co_await OnFailureAnswer(plan, std::move(head));
+  }
+  if (IsStreamRoute()) {
+    co_return co_await RelayStream(plan, std::move(head));
+  }
   co_return co_await RelayWhole(plan, std::move(head));
 }
 
@@ -404,7 +414,9 @@
     events_.Append(piece.bytes);
     std::string events = events_.Take();
     bool sent = true;
-    if (!events.empty()) sent = co_await writer_.Write(std::move(events));
+    if (!events.empty()) {
+      sent = co_await writer_.Write(std::move(events));
+    }
     if (!sent) {
       OnCallerClosed();
       co_return CallStatus::kCancelled;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -195,8 +195,9 @@
   }
   const MonotonicTime now = clock_.Now();
   const MonotonicTime since = unordered_since_.try_emplace(service, now).first->second;
-  if (now - since > kUnorderedVersionDelay)
+  if (now - since > kUnorderedVersionDelay) {
     return {[](const VersionId&) { return true; }, false, Ratio(1)};
+  }
   return {[version = known->second](const VersionId& other) { return other == version; }, false,
           Ratio(1)};
 }
@@ -434,8 +435,9 @@
     sessions_.ForEach(evidence.service, clock_.Now(),
                       [&](const auto& session, const auto& version) {
                         const bool tries = Draw(session.value()) < rollouts_.trial_share().value();
-                        if (tries && version != order->target)
+                        if (tries && version != order->target) {
                           evidence.held_back.push_back(ShortHash(session));
+                        }
                       });
   }
   return report;
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-StoreDuty::StoreDuty(Address store, PeerRecord self, const DirectoryCodec& codec,
+StoreDuty::StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
                      const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
                      EventLog& log)
     : self_(std::move(self)),
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -42,7 +42,7 @@
 /// store is away; how old it is travels with each change.
 class StoreDuty {
  public:
-  StoreDuty(Address store, PeerRecord self, const DirectoryCodec& codec,
+  StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
             const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
             EventLog& log);
   ~StoreDuty() { Stop(); }
--- a/src/bamboodock/routing/caller_request.h
+++ b/src/bamboodock/routing/caller_request.h
@@ -48,7 +48,10 @@
   /// When the head was complete.
   MonotonicTime arrived;
 
-  std::string_view Path() const { return std::string_view(target).substr(0, target.find('?')); }
+  std::string_view Path() const {
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
+  }
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -46,7 +46,7 @@
   co_await http::async_read(stream_, buffer_, parser, StoreError(error));
   if (error) co_return error;
   keep_alive = parser.keep_alive();
-  response.status = parser.get().result_int();
+  response.status = static_cast<int>(parser.get().result_int());
   response.body = std::move(parser.get().body());
   co_return error;
 }
--- /dev/null
+++ b/test/command/router/network_duty_test.cc
@@ -0,0 +1,358 @@
+#include "bamboodock/command/router/network_duty.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <sstream>
+
+#include "bamboodock/core/boot_clock.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/scripted_server.h"
+#include "platform/http_wire_protocol.h"
+
+namespace bamboodock {
+namespace {
+
+using Then = ScriptedServer::Then;
+using Answer = ScriptedServer::Answer;
+
+constexpr const char* kStamp = "X-Bamboodock-Attempt-Id: a1\r\nX-Bamboodock-Response-Stamp: s\r\n";
+
+std::string Whole(const std::string& status, const std::string& headers, const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Chunk(const std::string& text) {
+  std::ostringstream chunk;
+  chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return chunk.str();
+}
+
+std::string StreamHead(int confidence) {
+  return "HTTP/1.1 200 OK\r\n" + std::string(kStamp) +
+         "Content-Type: text/event-stream\r\nX-Bamboodock-Confidence: " +
+         std::to_string(confidence) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string StreamEvent(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+/// Log that several threads write to; the lines are not needed here.
+class NullEventLog final : public EventLog {
+ public:
+  void Write(Event, const RequestId&, const std::string&) override {}
+};
+
+/// Network duty whose plans are stated by the test, one endpoint after another.
+class Router {
+ public:
+  explicit Router(Route route) : network_({"127.0.0.1", 0}, {"127.0.0.1", 0}, Services()) {
+    route_ = std::move(route);
+    service_.id = ServiceId("s1");
+    network_.Start();
+  }
+  ~Router() { network_.Stop(); }
+
+  void Plan(const Address& endpoint) { endpoints_.push_back(endpoint); }
+  std::vector<PlanReason> reasons;
+
+  /// Sends bytes on a new connection and returns all that comes until the end of the connection.
+  std::string Exchange(const std::string& bytes) {
+    boost::asio::ip::tcp::socket socket = Connect();
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(bytes), error);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  boost::asio::ip::tcp::socket Connect() {
+    boost::asio::ip::tcp::socket socket(loop_);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), network_.caller_port()});
+    return socket;
+  }
+
+ private:
+  NetworkServices Services() {
+    return {wire_,
+            clock_,
+            log_,
+            counters_,
+            ModelLadder({60}),
+            [this](RouteCommand command) { return Receive(std::move(command)); },
+            [] { return Ref<const RouterStatus>(MakeRef<RouterStatus>()); }};
+  }
+
+  bool Receive(RouteCommand command) {
+    auto* query = std::get_if<PlanQuery>(&command);
+    if (query == nullptr) return true;
+    reasons.push_back(query->reason);
+    PlanAnswer answer;
+    answer.refusal = {ResultCode::kNoEndpoint, "none stated", RunState::kNotRun, {}};
+    if (!endpoints_.empty()) answer.plan = MakePlan(*query);
+    return network_.Post({query->receiver, std::move(answer)});
+  }
+
+  AttemptPlan MakePlan(const PlanQuery& query) {
+    AttemptPlan plan;
+    plan.progress.route = &route_;
+    plan.progress.service = &service_;
+    plan.progress.account = ClientAccountId("acct");
+    plan.endpoint = EndpointId("i-" + std::to_string(reasons.size()));
+    plan.address = endpoints_.front();
+    endpoints_.pop_front();
+    if (!route_.models.empty()) {
+      plan.model = query.model.empty() ? route_.models.front() : query.model;
+    }
+    plan.progress.model = plan.model;
+    plan.valid_until = MonotonicTime::max();
+    return plan;
+  }
+
+  Route route_;
+  RoutedService service_;
+  std::deque<Address> endpoints_;
+  platform::HttpWireProtocol wire_;
+  BootClock clock_;
+  NullEventLog log_;
+  RouterCounters counters_;
+  NetworkDuty network_;
+  boost::asio::io_context loop_;
+};
+
+Route MakeRoute(RouteKind kind, bool resumable = false) {
+  Route route;
+  route.kind = kind;
+  route.resumable = resumable;
+  route.max_attempts = 3;
+  route.timeout = std::chrono::seconds(5);
+  route.latency_objective = std::chrono::seconds(2);
+  route.pause_objective = std::chrono::seconds(2);
+  return route;
+}
+
+std::string Post(const std::string& extra = "") {
+  return "POST /a/1?q=2 HTTP/1.1\r\nHost: h.example\r\nX-Bamboodock-Attempt-Id: a1\r\n"
+         "X-Api-Key: secret\r\nX-Bamboodock-Tenant: forged\r\nConnection: close\r\n" +
+         extra + "Content-Length: 4\r\n\r\nbody";
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+class NetworkDutyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NetworkDutyTest);
+  CPPUNIT_TEST(PassesRequestAndAnswerOn);
+  CPPUNIT_TEST(UnsafeRequestIsNotRepeated);
+  CPPUNIT_TEST(NotExecutedGoesElsewhere);
+  CPPUNIT_TEST(UnreachableEndpointIsPassedOver);
+  CPPUNIT_TEST(ForeignAnswerIsNotDelivered);
+  CPPUNIT_TEST(PromiseWithoutProofIsNotPassedOn);
+  CPPUNIT_TEST(CutAnswerIsNotDelivered);
+  CPPUNIT_TEST(BrokenStreamIsContinued);
+  CPPUNIT_TEST(StreamThatCannotResumeLooksCut);
+  CPPUNIT_TEST(LowConfidenceAsksTheLargerModel);
+  CPPUNIT_TEST(CallerThatLeavesEndsTheRun);
+  CPPUNIT_TEST(AmbiguousFramingIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against keys that reach endpoints and accounts that callers choose.
+  void PassesRequestAndAnswerOn() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{Whole("200 OK", std::string(kStamp) + "X-Own: v\r\n", "done"), Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, "200 OK") && Contains(answer, "X-Own: v"));
+    CPPUNIT_ASSERT(answer.ends_with("done"));
+    const auto request = endpoint.requests().at(0);
+    CPPUNIT_ASSERT(request.target() == "/a/1?q=2" && request.body() == "body");
+    CPPUNIT_ASSERT(request["X-Bamboodock-Tenant"] == "acct");
+    CPPUNIT_ASSERT(request["X-Bamboodock-Expect-Instance"] == "i-1");
+    CPPUNIT_ASSERT(request.count("X-Api-Key") == 0);
+    CPPUNIT_ASSERT(!request["X-Bamboodock-Time-Left-Ms"].empty());
+  }
+
+  // Guards against a label that is issued twice because its answer was lost.
+  void UnsafeRequestIsNotRepeated() {
+    ScriptedServer endpoint([](const auto&, std::size_t) { return Answer{"", Then::kReset}; });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, "HTTP/1.1 502"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.requests().size());
+  }
+
+  void NotExecutedGoesElsewhere() {
+    ScriptedServer full([](const auto&, std::size_t) {
+      return Answer{Whole("503 Full", "X-Bamboodock-Not-Executed: 1\r\n", ""), Then::kClose};
+    });
+    ScriptedServer free([](const auto&, std::size_t) {
+      return Answer{Whole("200 OK", kStamp, "done"), Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(full.address());
+    router.Plan(free.address());
+    CPPUNIT_ASSERT(router.Exchange(Post()).ends_with("done"));
+    CPPUNIT_ASSERT(router.reasons.at(1) == PlanReason::kNotRun);
+  }
+
+  void UnreachableEndpointIsPassedOver() {
+    ScriptedServer free([](const auto&, std::size_t) {
+      return Answer{Whole("200 OK", kStamp, "done"), Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan({"127.0.0.1", 1});
+    router.Plan(free.address());
+    CPPUNIT_ASSERT(router.Exchange(Post()).ends_with("done"));
+  }
+
+  // Guards against an answer that belongs to another request.
+  void ForeignAnswerIsNotDelivered() {
+    ScriptedServer endpoint([](const auto&, std::size_t number) {
+      const std::string id = number == 0 ? "other" : "a1";
+      return Answer{
+          Whole("200 OK",
+                "X-Bamboodock-Attempt-Id: " + id + "\r\nX-Bamboodock-Response-Stamp: s\r\n",
+                "for " + id),
+          Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kSafe));
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    CPPUNIT_ASSERT(router.Exchange(Post()).ends_with("for a1"));
+  }
+
+  // Guards against a 503 that says "not run" for a request that may have run.
+  void PromiseWithoutProofIsNotPassedOn() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{Whole("503 Busy", kStamp, ""), Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, "HTTP/1.1 502") && !Contains(answer, "Response-Stamp"));
+  }
+
+  // Guards against half an answer that looks whole.
+  void CutAnswerIsNotDelivered() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      const std::string whole = Whole("200 OK", kStamp, "0123456789");
+      return Answer{whole.substr(0, whole.size() - 4), Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, "HTTP/1.1 502") && !Contains(answer, "012345"));
+  }
+
+  // Guards against events that are lost, doubled or torn when an endpoint breaks off.
+  void BrokenStreamIsContinued() {
+    ScriptedServer first([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1) + StreamEvent(2) + "id: 3\nda"),
+                    Then::kReset};
+    });
+    ScriptedServer second([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(2) + StreamEvent(3)) +
+                        Chunk(StreamEvent(4)) + "0\r\n\r\n",
+                    Then::kClose};
+    });
+    Router router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(first.address());
+    router.Plan(second.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(second.requests().at(0)["Last-Event-Id"] == "2");
+    for (int id = 1; id <= 4; ++id) {
+      const std::size_t found = answer.find(StreamEvent(id));
+      CPPUNIT_ASSERT(found != std::string::npos);
+      CPPUNIT_ASSERT(answer.find(StreamEvent(id), found + 1) == std::string::npos);
+    }
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(!Contains(answer, "id: 3\nda\r\n"));
+  }
+
+  // Guards against a cut stream that ends as if it were complete.
+  void StreamThatCannotResumeLooksCut() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), Then::kReset};
+    });
+    Router router(MakeRoute(RouteKind::kStream, false));
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(!answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.requests().size());
+  }
+
+  void LowConfidenceAsksTheLargerModel() {
+    ScriptedServer endpoint([](const auto& request, std::size_t) {
+      const bool small = request["X-Bamboodock-Model"] == "m0";
+      return Answer{StreamHead(small ? 30 : 80) + Chunk(StreamEvent(small ? 7 : 1)) + "0\r\n\r\n",
+                    Then::kClose};
+    });
+    Route route = MakeRoute(RouteKind::kStream, true);
+    route.models = {ModelId("m0"), ModelId("m1"), ModelId("m2")};
+    Router router(route);
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(Post("X-Bamboodock-Model: *\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, endpoint.requests().size());
+    CPPUNIT_ASSERT(endpoint.requests().at(1)["X-Bamboodock-Model"] == "m2");
+    CPPUNIT_ASSERT(Contains(answer, StreamEvent(1)) && !Contains(answer, StreamEvent(7)));
+  }
+
+  // Guards against endpoints that work on for callers who have gone.
+  void CallerThatLeavesEndsTheRun() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{"", Then::kWaitForPeer};
+    });
+    Router router(MakeRoute(RouteKind::kSafe));
+    router.Plan(endpoint.address());
+    {
+      boost::asio::ip::tcp::socket caller = router.Connect();
+      boost::asio::write(caller, boost::asio::buffer(Post()));
+      while (endpoint.requests().empty()) std::this_thread::yield();
+    }
+    CPPUNIT_ASSERT(endpoint.AwaitPeerClose(std::chrono::seconds(10)));
+  }
+
+  // Guards against a second request that hides in the body of the first.
+  void AmbiguousFramingIsRefused() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{Whole("200 OK", kStamp, "done"), Then::kClose};
+    });
+    const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\nX-Bamboodock-Attempt-Id: a1\r\n";
+    const std::vector<std::string> bad{
+        head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET",
+        head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody1",
+        head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        head + "X-A: 1\r\n folded: 2\r\nContent-Length: 0\r\n\r\n",
+        head + "X-A: 1\nContent-Length: 0\r\n\r\n",
+        head + "Host: other\r\nContent-Length: 0\r\n\r\n",
+        head + "Content-Length: -1\r\n\r\n",
+        "POST http://h/a/ HTTP/1.1\r\nHost: h\r\nX-Bamboodock-Attempt-Id: a1\r\n\r\n",
+        "nonsense\r\n\r\n"};
+    for (const std::string& bytes : bad) {
+      Router router(MakeRoute(RouteKind::kSafe));
+      router.Plan(endpoint.address());
+      const std::string answer = router.Exchange(bytes);
+      CPPUNIT_ASSERT_MESSAGE(bytes + " => " + answer, Contains(answer, "HTTP/1.1 400"));
+    }
+    CPPUNIT_ASSERT(endpoint.requests().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NetworkDutyTest);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/fakes/scripted_server.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "bamboodock/transport/address.h"
+
+namespace bamboodock {
+
+/// HTTP server on loopback that answers each request with the bytes that a test states.
+///
+/// Each connection is served on a thread of its own; a connection ends after `close` answers.
+class ScriptedServer {
+ public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  /// What follows the bytes of an answer.
+  enum class Then { kKeep, kClose, kReset, kWaitForPeer };
+  struct Answer {
+    std::string bytes;
+    Then then = Then::kClose;
+  };
+  using Script = std::function<Answer(const Request& request, std::size_t number)>;
+
+  explicit ScriptedServer(Script script)
+      : script_(std::move(script)),
+        acceptor_(loop_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { AcceptAll(); }) {}
+
+  ~ScriptedServer() {
+    boost::system::error_code error;
+    // An own connection ends the blocking accept.
+    stopping_ = true;
+    boost::asio::ip::tcp::socket wake(loop_);
+    wake.connect(acceptor_.local_endpoint(), error);
+    thread_.join();
+    for (std::thread& thread : connections_) thread.join();
+  }
+
+  Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+  std::vector<Request> requests() const {
+    const std::lock_guard lock(mutex_);
+    return requests_;
+  }
+
+  /// Waits until a peer has closed a connection that was kept for it.
+  bool AwaitPeerClose(std::chrono::seconds limit) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, limit, [this] { return peer_closes_ > 0; });
+  }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void AcceptAll() {
+    while (true) {
+      Socket socket(loop_);
+      boost::system::error_code error;
+      acceptor_.accept(socket, error);
+      if (stopping_ || error) return;
+      connections_.emplace_back(
+          [this, held = std::make_shared<Socket>(std::move(socket))] { Serve(*held); });
+    }
+  }
+
+  void Serve(Socket& socket) {
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    while (true) {
+      Request request;
+      boost::beast::http::read(socket, buffer, request, error);
+      if (error) return;
+      std::size_t number = 0;
+      {
+        const std::lock_guard lock(mutex_);
+        number = requests_.size();
+        requests_.push_back(request);
+      }
+      const Answer answer = script_(request, number);
+      boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
+      if (answer.then == Then::kKeep) continue;
+      if (answer.then == Then::kWaitForPeer) WaitForPeer(socket);
+      if (answer.then == Then::kReset) {
+        socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+      } else {
+        socket.shutdown(Socket::shutdown_send, error);
+      }
+      return;
+    }
+  }
+
+  void WaitForPeer(Socket& socket) {
+    char byte = 0;
+    boost::system::error_code error;
+    while (!error) socket.read_some(boost::asio::buffer(&byte, 1), error);
+    const std::lock_guard lock(mutex_);
+    ++peer_closes_;
+    changed_.notify_all();
+  }
+
+  Script script_;
+  boost::asio::io_context loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<Request> requests_;
+  int peer_closes_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+}  // namespace bamboodock
