--- a/src/bamboodock/command/router/peer_duty.cc
+++ b/src/bamboodock/command/router/peer_duty.cc
@@ -65,7 +65,7 @@
     socket_.send_to(boost::asio::buffer(bytes), peer->second, 0, error);
     if (error) {
       log_.Write(Event::kPeerUnreachable, RequestId(),
-                 "host=" + peer->first.value() + " reason=\"" + error.message() + "\"");
+                 "host=" + peer->first.value() + " reason='" + error.message() + "'");
     }
   }
 }
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -84,7 +84,7 @@
   services_.log.Write(
       event, RequestId(request_->traits.attempt.value()),
       fmt::format(
-          "status={} runs={} not_run={} took_ms={} route={} model={} detail=\"{}\"", status, runs_,
+          "status={} runs={} not_run={} took_ms={} route={} model={} note='{}'", status, runs_,
           not_run_, std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
           progress_.route ? progress_.route->id.value() : "", progress_.model.value(), detail));
 }
@@ -105,7 +105,7 @@
   services_.log.Write(
       Event::kAttemptEnded, RequestId(request_->traits.attempt.value()),
       fmt::format(
-          "endpoint={} outcome={} head_ms={} detail=\"{}\"", plan.endpoint.value(), Name(outcome),
+          "endpoint={} outcome={} head_ms={} note='{}'", plan.endpoint.value(), Name(outcome),
           head_latency_
               ? std::chrono::duration_cast<std::chrono::milliseconds>(*head_latency_).count()
               : -1,
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -109,7 +109,7 @@
 
 PlanAnswer RouteState::Refuse(const PlanQuery& query, ResultCode code, std::string detail) const {
   log_.Write(Event::kRequestRefusedByRouter, RequestId(query.request->traits.attempt.value()),
-             fmt::format("code={} reason={} why=\"{}\" {}", Name(code), Name(query.reason), detail,
+             fmt::format("code={} reason={} why='{}' {}", Name(code), Name(query.reason), detail,
                          Knowledge()));
   const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter(code));
   return {std::nullopt, Failure{code, std::move(detail), RunState::kNotRun, wait}};
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -67,7 +67,7 @@
   if (watch.failing) return;
   watch.failing = true;
   log_.Write(Event::kStoreFailed, RequestId(),
-             fmt::format("table={} reason=\"{}\"", watch.table, reason));
+             fmt::format("table={} reason='{}'", watch.table, reason));
 }
 
 void StoreDuty::NoteSuccess(Watch& watch) {
@@ -274,7 +274,7 @@
     const HttpExchangeResult result = co_await writer_.Call(request, kAnswerTimeout);
     if (result.response && result.response->status == 200) co_return;
     log_.Write(Event::kStoreWriteFailed, RequestId(),
-               fmt::format("row of this entry, status={} error=\"{}\"",
+               fmt::format("row of this entry, status={} error='{}'",
                            result.response ? result.response->status : 0, result.error.message()));
     co_await Pause(kLongestPause);
   }
@@ -284,12 +284,11 @@
   const HttpRequest request = protocol_.Transact(codec_.WriteProgress(progress));
   const HttpExchangeResult result = co_await writer_.Call(request, kAnswerTimeout);
   const int status = result.response ? result.response->status : 0;
-  log_.Write(
-      status == 200 ? Event::kRolloutWritten : Event::kStoreWriteFailed, RequestId(),
-      fmt::format("service={} target={} state={} expected_revision={} status={} error=\"{}\"",
-                  progress.service.value(), progress.target.value(),
-                  static_cast<int>(progress.state), progress.revision, status,
-                  result.error.message()));
+  log_.Write(status == 200 ? Event::kRolloutWritten : Event::kStoreWriteFailed, RequestId(),
+             fmt::format("service={} target={} state={} expected_revision={} status={} error='{}'",
+                         progress.service.value(), progress.target.value(),
+                         static_cast<int>(progress.state), progress.revision, status,
+                         result.error.message()));
   co_await Pause(kWritePause);
   writing_.erase(progress.service);
 }
--- /dev/null
+++ b/test/command/router/route_state_test.cc
@@ -0,0 +1,284 @@
+#include "bamboodock/command/router/route_state.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fakes/fake_clock.h"
+#include "fakes/fake_event_log.h"
+
+namespace bamboodock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId kService("s1");
+const AvailabilityZoneId kZone("z1");
+
+Route MakeRoute(const std::string& prefix, bool open_to_all) {
+  Route route;
+  route.id = RouteId("r" + prefix);
+  route.host = "h.example";
+  route.prefix = prefix;
+  route.kind = RouteKind::kSafe;
+  route.open_to_all = open_to_all;
+  route.max_attempts = 3;
+  route.services = {{kService, 1}};
+  return route;
+}
+
+Ref<const RouteTable> MakeTable(std::uint64_t version, const std::vector<std::string>& keys) {
+  RouteTableBuilder builder;
+  builder.Version(ConfigVersion(version)).RequireKeys();
+  builder.Add(MakeRoute("/a/", false)).Add(MakeRoute("/open/", true));
+  RoutedService service;
+  service.id = kService;
+  service.cold_time = seconds(3);
+  service.cold_rate = RequestRate(8.9);
+  builder.Add(service);
+  for (const std::string& key : keys) {
+    builder.Add(ApiKey(key), RoutedAccount{ClientAccountId("acct"), std::nullopt});
+  }
+  return builder.Build();
+}
+
+EndpointRecord MakeEndpoint(const std::string& id, const std::string& zone = "z1",
+                            const std::string& version = "v1") {
+  EndpointRecord record;
+  record.id = EndpointId(id);
+  record.service = kService;
+  record.address = {"10.0.0.1", 80};
+  record.availability_zone = AvailabilityZoneId(zone);
+  record.version = VersionId(version);
+  record.slots = Concurrency(64);
+  record.started = StartStamp(1);
+  return record;
+}
+
+PlanQuery MakeQuery(const std::string& path, const std::string& key) {
+  auto request = MakeRef<CallerRequest>();
+  request->host = "h.example";
+  request->target = path;
+  request->traits.key = ApiKey(key);
+  request->traits.attempt = AttemptId("a1");
+  PlanQuery query;
+  query.request = request;
+  return query;
+}
+
+}  // namespace
+
+class RouteStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouteStateTest);
+  CPPUNIT_TEST(NothingIsKnownAtFirst);
+  CPPUNIT_TEST(KeyedRequestsNeedFreshConfiguration);
+  CPPUNIT_TEST(PlanExpiresWithItsKnowledge);
+  CPPUNIT_TEST(OldConfigurationDoesNotDeny);
+  CPPUNIT_TEST(ConfigurationNeverReverts);
+  CPPUNIT_TEST(RemovedKeyIsRefusedAtTheNextAttempt);
+  CPPUNIT_TEST(DrainingAndGoneEndpointsGetNothing);
+  CPPUNIT_TEST(EvacuatedZoneGetsNothing);
+  CPPUNIT_TEST(ReturningZoneIsTreatedAsCold);
+  CPPUNIT_TEST(ColdEndpointGetsItsShareOnly);
+  CPPUNIT_TEST(RestartUnderTheSameIdIsCold);
+  CPPUNIT_TEST(UnorderedVersionWaits);
+  CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
+  CPPUNIT_TEST(UnreachableEndpointIsAvoided);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    log_ = std::make_unique<FakeEventLog>();
+    clock_ = std::make_unique<FakeClock>();
+    state_ = std::make_unique<RouteState>(RouterIdentity{HostId("h1"), IncarnationId("i1"), kZone},
+                                          RouterLimits(), *clock_, Random(1), *log_);
+  }
+
+  // Guards against a 404 or 401 from an entry that has just started.
+  void NothingIsKnownAtFirst() {
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNoConfiguration);
+    CPPUNIT_ASSERT(!state_->Ready());
+  }
+
+  // Guards against a key that works on a cut-off entry after it was taken away.
+  void KeyedRequestsNeedFreshConfiguration() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1")}, {}});
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kOk && state_->Ready());
+    clock_->Advance(milliseconds(3800));
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNotFresh && !state_->Ready());
+    CPPUNIT_ASSERT(Code("/open/", "") == ResultCode::kOk);
+    Confirm();
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kOk);
+  }
+
+  // Guards against a request that is sent long after it was planned.
+  void PlanExpiresWithItsKnowledge() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1")}, {}});
+    const PlanAnswer answer = state_->Plan(MakeQuery("/a/", "k1"));
+    CPPUNIT_ASSERT(answer.plan->valid_until == clock_->Now() + milliseconds(3750));
+  }
+
+  // Guards against denying what a newer configuration allows.
+  void OldConfigurationDoesNotDeny() {
+    Install(1, {"k1"});
+    CPPUNIT_ASSERT(Code("/none/", "k1") == ResultCode::kNotFound);
+    CPPUNIT_ASSERT(Code("/a/", "k9") == ResultCode::kUnauthorized);
+    clock_->Advance(milliseconds(2600));
+    CPPUNIT_ASSERT(Code("/none/", "k1") == ResultCode::kNotFresh);
+    CPPUNIT_ASSERT(Code("/a/", "k9") == ResultCode::kNotFresh);
+  }
+
+  void ConfigurationNeverReverts() {
+    Install(7, {"k2"});
+    Install(5, {"k1"});
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kUnauthorized);
+  }
+
+  // Guards against a repeat with a key that was taken away meanwhile.
+  void RemovedKeyIsRefusedAtTheNextAttempt() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
+    PlanQuery query = MakeQuery("/a/", "k1");
+    query.progress = state_->Plan(query).plan->progress;
+    query.reason = PlanReason::kFailed;
+    Install(2, {"k2"});
+    CPPUNIT_ASSERT(state_->Plan(query).refusal.code == ResultCode::kUnauthorized);
+  }
+
+  void DrainingAndGoneEndpointsGetNothing() {
+    Install(1, {"k1"});
+    EndpointRecord leaving = MakeEndpoint("e1");
+    leaving.draining = true;
+    state_->Apply(EndpointDelta{{leaving, MakeEndpoint("e2")}, {}});
+    CPPUNIT_ASSERT(EndpointsOf(20) == std::set<EndpointId>{EndpointId("e2")});
+    state_->Apply(EndpointDelta{{}, {EndpointId("e2")}});
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNoEndpoint);
+  }
+
+  void EvacuatedZoneGetsNothing() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1", "z1"), MakeEndpoint("e2", "z2")}, {}});
+    Evacuate(false);
+    CPPUNIT_ASSERT(EndpointsOf(20) == std::set<EndpointId>{EndpointId("e2")});
+  }
+
+  // Guards against full load on endpoints that may have become cold while their zone was out.
+  void ReturningZoneIsTreatedAsCold() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1", "z1")}, {}});
+    Evacuate(false);
+    Evacuate(true);
+    CPPUNIT_ASSERT(CountPlans(100) <= 18);
+  }
+
+  // Guards against a cold endpoint that is pushed over: 8.9 x 1.5 + 5 in any second.
+  void ColdEndpointGetsItsShareOnly() {
+    Install(1, {"k1"});
+    EndpointRecord cold = MakeEndpoint("e1");
+    cold.cold_remaining = seconds(3);
+    state_->Apply(EndpointDelta{{cold}, {}});
+    const int first = CountPlans(100);
+    CPPUNIT_ASSERT(first > 0 && first <= 18);
+    clock_->Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, CountPlans(100));
+    clock_->Advance(seconds(5));
+    Confirm();
+    CPPUNIT_ASSERT_EQUAL(100, CountPlans(100));
+  }
+
+  // Guards against counts of an earlier life of an endpoint.
+  void RestartUnderTheSameIdIsCold() {
+    Install(1, {"k1"});
+    EndpointRecord endpoint = MakeEndpoint("e1");
+    state_->Apply(EndpointDelta{{endpoint}, {}});
+    CPPUNIT_ASSERT_EQUAL(50, CountPlans(50));
+    endpoint.started = StartStamp(2);
+    state_->Apply(EndpointDelta{{endpoint}, {}});
+    CPPUNIT_ASSERT(CountPlans(50) <= 18);
+  }
+
+  // Guards against a version on trial that gets traffic before its order has arrived.
+  void UnorderedVersionWaits() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1")}, {}});
+    CPPUNIT_ASSERT(EndpointsOf(1).size() == 1);
+    state_->Apply(EndpointDelta{{MakeEndpoint("e2", "z1", "v2")}, {}});
+    CPPUNIT_ASSERT(EndpointsOf(30) == std::set<EndpointId>{EndpointId("e1")});
+    state_->Apply(EndpointDelta{{}, {EndpointId("e1")}});
+    CPPUNIT_ASSERT(EndpointsOf(30) == std::set<EndpointId>{EndpointId("e2")});
+  }
+
+  void RetriesAvoidTriedEndpoints() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
+    PlanQuery query = MakeQuery("/a/", "k1");
+    query.progress = state_->Plan(query).plan->progress;
+    query.reason = PlanReason::kNotRun;
+    const PlanAnswer second = state_->Plan(query);
+    CPPUNIT_ASSERT(second.plan->progress.tried.size() == 2);
+    CPPUNIT_ASSERT(second.plan->progress.tried[0] != second.plan->progress.tried[1]);
+    query.progress = second.plan->progress;
+    CPPUNIT_ASSERT(state_->Plan(query).refusal.code == ResultCode::kNoEndpoint);
+  }
+
+  // Guards against an endpoint that went dark and takes a share of the requests all the same.
+  void UnreachableEndpointIsAvoided() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
+    AttemptReport report;
+    report.endpoint = EndpointId("e1");
+    report.started = StartStamp(1);
+    report.service = kService;
+    report.outcome = AttemptOutcome::kUnreachable;
+    state_->Apply(report);
+    CPPUNIT_ASSERT(EndpointsOf(10) == std::set<EndpointId>{EndpointId("e2")});
+  }
+
+ private:
+  void Install(std::uint64_t version, const std::vector<std::string>& keys) {
+    OperatorDelta delta;
+    delta.rows.emplace_back();
+    delta.rows.back().config = MakeTable(version, keys);
+    delta.covered_until = clock_->Now();
+    state_->Apply(delta);
+  }
+  void Confirm() {
+    OperatorDelta delta;
+    delta.covered_until = clock_->Now();
+    state_->Apply(delta);
+  }
+  void Evacuate(bool ended) {
+    OperatorDelta delta;
+    delta.rows.emplace_back();
+    delta.rows.back().evacuation = kZone;
+    delta.rows.back().evacuation_ended = ended;
+    delta.covered_until = clock_->Now();
+    state_->Apply(delta);
+  }
+  ResultCode Code(const std::string& path, const std::string& key) {
+    const PlanAnswer answer = state_->Plan(MakeQuery(path, key));
+    return answer.plan ? ResultCode::kOk : answer.refusal.code;
+  }
+  int CountPlans(int queries) {
+    int plans = 0;
+    for (int i = 0; i < queries; ++i) plans += state_->Plan(MakeQuery("/a/", "k1")).plan ? 1 : 0;
+    return plans;
+  }
+  std::set<EndpointId> EndpointsOf(int queries) {
+    std::set<EndpointId> endpoints;
+    for (int i = 0; i < queries; ++i) {
+      const PlanAnswer answer = state_->Plan(MakeQuery("/a/", "k1"));
+      if (answer.plan) endpoints.insert(answer.plan->endpoint);
+    }
+    return endpoints;
+  }
+
+  std::unique_ptr<FakeEventLog> log_;
+  std::unique_ptr<FakeClock> clock_;
+  std::unique_ptr<RouteState> state_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteStateTest);
+
+}  // namespace bamboodock
--- /dev/null
+++ b/test/command/router/store_duty_test.cc
@@ -0,0 +1,186 @@
+#include "bamboodock/command/router/store_duty.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <condition_variable>
+#include <mutex>
+
+#include "bamboodock/core/boot_clock.h"
+#include "fakes/scripted_server.h"
+#include "platform/platform_directory.h"
+#include "platform/table_store_protocol.h"
+
+namespace bamboodock {
+namespace {
+
+using Then = ScriptedServer::Then;
+using Answer = ScriptedServer::Answer;
+
+constexpr std::chrono::seconds kLimit{20};
+
+std::string Http(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Rows(const std::string& rows, int revision) {
+  return Http(200, R"({"rows":[)" + rows + R"(],"ver":)" + std::to_string(revision) +
+                       R"(,"nowMs":1000,"morePages":false})");
+}
+
+/// Row of an endpoint; the value is {"service":"s","address":"10.0.0.1:80","zone":"z",
+/// "version":"v1","slots":4,"state":"ready"} in base64.
+std::string EndpointRow(const std::string& key, int revision) {
+  return R"({"tableName":"servers","part":"","key":")" + key + R"(","ver":)" +
+         std::to_string(revision) +
+         R"(,"value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6Iiwi)"
+         R"(dmVyc2lvbiI6InYxIiwic2xvdHMiOjQsInN0YXRlIjoicmVhZHkifQ=="})";
+}
+
+bool Asks(const ScriptedServer::Request& request, const std::string& call,
+          const std::string& table) {
+  const std::string target(request.target());
+  return target.starts_with("/-/" + call) && target.find("tableName=" + table) != std::string::npos;
+}
+
+class NullEventLog final : public EventLog {
+ public:
+  void Write(Event, const RequestId&, const std::string&) override {}
+};
+
+/// Keeps the endpoints that the duty reports.
+class Listener final : public StoreListener {
+ public:
+  void OnChange(RouteCommand change) override {
+    const std::lock_guard lock(mutex_);
+    if (const auto* delta = std::get_if<EndpointDelta>(&change)) {
+      for (const auto& record : delta->changed) endpoints_.insert(record.id.value());
+      for (const auto& id : delta->removed) endpoints_.erase(id.value());
+      ++endpoint_changes_;
+    }
+    changed_.notify_all();
+  }
+  void OnPeers(const std::vector<PeerRecord>&) override {}
+
+  bool Await(const std::set<std::string>& endpoints) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, kLimit, [&] { return endpoints_ == endpoints; });
+  }
+  bool Has(const std::string& id) const {
+    const std::lock_guard lock(mutex_);
+    return endpoints_.contains(id);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::set<std::string> endpoints_;
+  int endpoint_changes_ = 0;
+};
+
+/// Answers the calls that a test does not care for.
+Answer Otherwise(const ScriptedServer::Request& request) {
+  if (request.method() == boost::beast::http::verb::post) {
+    return {Http(200, R"({"ver":1,"nowMs":1000})"), Then::kKeep};
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  return {Rows("", 1), Then::kKeep};
+}
+
+}  // namespace
+
+class StoreDutyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreDutyTest);
+  CPPUNIT_TEST(ListsAndFollows);
+  CPPUNIT_TEST(ListsAgainWhenHistoryIsGone);
+  CPPUNIT_TEST(KeepsLapsedEndpointsForAWhile);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ListsAndFollows() {
+    Run(
+        [](const auto& request, std::size_t) {
+          if (Asks(request, "rows-get", "servers")) return Keep(Rows(EndpointRow("e1", 3), 3));
+          if (Asks(request, "rows-feed", "servers") && After(request) == 3) {
+            return Keep(Rows(EndpointRow("e2", 5) +
+                                 R"(,{"tableName":"servers","part":"","key":"e1","ver":6,)"
+                                 R"("isGone":true})",
+                             6));
+          }
+          return Otherwise(request);
+        },
+        [](Listener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
+  }
+
+  // Guards against endpoints that left in a gap of the feed and are used for ever.
+  void ListsAgainWhenHistoryIsGone() {
+    auto lists = std::make_shared<std::atomic<int>>(0);
+    Run(
+        [lists](const auto& request, std::size_t) {
+          if (Asks(request, "rows-get", "servers")) {
+            const bool first = (*lists)++ == 0;
+            return Keep(first ? Rows(EndpointRow("e1", 3), 3) : Rows(EndpointRow("e2", 9), 9));
+          }
+          if (Asks(request, "rows-feed", "servers") && After(request) == 3) {
+            return Keep(Http(410, "{}"));
+          }
+          return Otherwise(request);
+        },
+        [](Listener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
+  }
+
+  // Guards against an empty pool after an outage during which registrations lapsed: the endpoint
+  // is kept until it has had time to register again, and removed when it does not.
+  void KeepsLapsedEndpointsForAWhile() {
+    Run(
+        [](const auto& request, std::size_t) {
+          if (Asks(request, "rows-get", "servers")) return Keep(Rows(EndpointRow("e1", 3), 3));
+          if (!Asks(request, "rows-feed", "servers")) return Otherwise(request);
+          static std::atomic<int> feeds{0};
+          const int feed = feeds++;
+          if (feed < 2) return Keep(Http(503, "{}"));
+          if (After(request) == 3) {
+            return Keep(Rows(R"({"tableName":"servers","part":"","key":"e1","ver":6,)"
+                             R"("isGone":true})",
+                             6));
+          }
+          return Otherwise(request);
+        },
+        [](Listener& listener) {
+          CPPUNIT_ASSERT(listener.Await({"e1"}));
+          const auto kept_until = std::chrono::steady_clock::now() + std::chrono::milliseconds(900);
+          CPPUNIT_ASSERT(listener.Await({}));
+          CPPUNIT_ASSERT(std::chrono::steady_clock::now() >= kept_until);
+        });
+  }
+
+ private:
+  static Answer Keep(std::string bytes) { return {std::move(bytes), Then::kKeep}; }
+
+  static int After(const ScriptedServer::Request& request) {
+    const std::string target(request.target());
+    const std::size_t at = target.find("after=");
+    return at == std::string::npos ? -1 : std::stoi(target.substr(at + 6));
+  }
+
+  template <class Check>
+  static void Run(ScriptedServer::Script script, Check check) {
+    ScriptedServer store(std::move(script));
+    Listener listener;
+    {
+      NullEventLog log;
+      const BootClock clock;
+      const platform::PlatformDirectory directory;
+      const platform::TableStoreProtocol protocol;
+      StoreDuty duty(store.address(), {HostId("h1"), {"127.0.0.1", 9}}, directory, protocol, clock,
+                     listener, log);
+      duty.Start();
+      check(listener);
+      duty.Stop();
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreDutyTest);
+
+}  // namespace bamboodock
