--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -27,7 +27,7 @@
 constexpr double kAffinityFactor = 1.15;
 constexpr double kTokensPerSlack = 1500;
 /// Score of an endpoint in another zone, in requests per slot.
-constexpr double kOtherZone = 0.15;
+constexpr double kOtherZone = 0.08;
 /// Failures, by weight, before an endpoint is compared with the others.
 constexpr double kLeastBad = 2.4;
 /// Excess of an endpoint's share of failures over that of the others.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -21,6 +21,9 @@
 /// An entry that has been silent for this long has no share in what others have open.
 constexpr std::chrono::milliseconds kPeerSilence{4000};
 
+/// Shared tokens from which a cached prompt is worth a request that leaves its zone.
+constexpr Tokens kLeastShared{400};
+
 /// Weight of recent failures from which an endpoint is suspect.
 constexpr double kSuspectWeight = 0.4;
 
@@ -246,8 +249,8 @@
   need.service = progress.service;
   need.allows_version = choice.allows;
   need.tried = &progress.tried;
-  need.affinity = AffinityKey(request.traits);
   need.shared = SharedTokens(request.traits);
+  if (need.shared >= kLeastShared) need.affinity = AffinityKey(request.traits);
   need.entries = peers_.Entries();
   need.spread = choice.spread;
   PooledEndpoint* endpoint = pool_.Choose(need, random_, now);
