Settle the linter's findings in the new tests

Cause: a floating-point loop counter and a concatenation in a test message. Change: an integer counter; the message names the request only.

--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -347,7 +347,7 @@
       Router router(MakeRoute(RouteKind::kSafe));
       router.Plan(endpoint.address());
       const std::string answer = router.Exchange(bytes);
-      CPPUNIT_ASSERT_MESSAGE(bytes + " => " + answer, Contains(answer, "HTTP/1.1 400"));
+      CPPUNIT_ASSERT_MESSAGE(bytes, Contains(answer, "HTTP/1.1 400"));
     }
     CPPUNIT_ASSERT(endpoint.requests().empty());
   }
--- a/test/policy/rollout_schedule_test.cc
+++ b/test/policy/rollout_schedule_test.cc
@@ -38,8 +38,8 @@
   // Guards against sessions that go back and forth while traffic moves.
   void ShareOnlyRises() {
     double before = 0;
-    for (double progress = 0; progress < 1; progress += 0.01) {
-      const double share = Share(progress, 100);
+    for (int percent = 0; percent < 100; ++percent) {
+      const double share = Share(percent / 100.0, 100);
       CPPUNIT_ASSERT(share >= before);
       before = share;
     }
