--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <variant>
 
-#include "bamboodock/core/boot_clock.h"
+#include "bamboodock/observe/log.h"
 
 namespace bamboodock {
 namespace {
@@ -36,9 +36,18 @@
   // A report that finds no room is made up for by the next one.
   static_cast<void>(outlets_.send_report(state_.OwnReport()));
   PublishStatus();
+  ReportDroppedLines();
   return std::chrono::steady_clock::now() + kTickInterval;
 }
 
+void PlanningDuty::ReportDroppedLines() {
+  const std::uint64_t dropped = DroppedLines();
+  if (dropped == reported_drops_) return;
+  log_.Write(Event::kLinesDropped, RequestId(),
+             "lines=" + std::to_string(dropped - reported_drops_));
+  reported_drops_ = dropped;
+}
+
 void PlanningDuty::PublishStatus() {
   auto status = MakeRef<RouterStatus>();
   status->table = state_.table();
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -38,12 +38,15 @@
   void On(HeadReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
   void PublishStatus();
+  void ReportDroppedLines();
 
   RouteState state_;
   PlanningOutlets outlets_;
   EventLog& log_;
   SnapshotCell<RouterStatus> status_;
   bool ready_ = false;
+  /// Dropped log lines that have been reported.
+  std::uint64_t reported_drops_ = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/answer_record.h
+++ b/src/bamboodock/policy/answer_record.h
@@ -23,8 +23,6 @@
     return bad_;
   }
 
-  void Clear() { good_ = bad_ = 0; }
-
  private:
   static constexpr std::chrono::seconds kHalfLife{4};
 
--- a/src/bamboodock/policy/store_clock.h
+++ b/src/bamboodock/policy/store_clock.h
@@ -32,12 +32,6 @@
     return made < received ? made : received;
   }
 
-  /// Estimate of the store's clock at local time `now`; empty before the first exchange.
-  std::optional<std::chrono::milliseconds> StoreTime(MonotonicTime now) const {
-    if (!offset_) return std::nullopt;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch() - *offset_);
-  }
-
  private:
   std::optional<Duration> offset_;
   std::optional<std::chrono::milliseconds> last_;
--- a/src/bamboodock/routing/route.h
+++ b/src/bamboodock/routing/route.h
@@ -64,15 +64,11 @@
 /// One service of the operator's configuration.
 struct RoutedService {
   ServiceId id;
-  /// Connections that one endpoint accepts from all callers together.
-  Concurrency max_connections;
   /// How long an endpoint stays cold after its start.
   Duration cold_time{};
   /// Requests per second that a cold endpoint tolerates; zero when it has no such limit.
   RequestRate cold_rate{0};
   std::vector<PricedModel> models;
-  /// Path that answers with the endpoint's health.
-  std::string health_path;
 };
 
 /// Client account as the router needs it.
--- a/test/policy/store_clock_test.cc
+++ b/test/policy/store_clock_test.cc
@@ -45,7 +45,7 @@
     StoreClock clock;
     clock.Observe(At(1000), milliseconds(900));
     clock.Observe(At(2000), milliseconds(10));
-    CPPUNIT_ASSERT(*clock.StoreTime(At(2500)) == milliseconds(510));
+    CPPUNIT_ASSERT(clock.EarliestAnswerTime(At(2000), At(9000), milliseconds(510)) == At(2500));
   }
 };
 
