Find the demonstration's request by its acceptance

Cause: scripts/run failed in 1 of 1 try on a busy machine: a cascade that begins with the largest version has no answer checked, so the event that demo.py asked for never came. Change: the request is found by request_accepted, which every request has.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -61,20 +61,21 @@
         raise RuntimeError("the lot was not found")
 
 
-def cascade_request(site):
-    """Id of the request that went through the cascade.
+def first_request(site):
+    """Id of the first request, the one to the cascade.
 
-    The timeline duty publishes its events after the answer has ended, so the first queries may not
-    show them yet.
+    Whether a cascade has its answer checked depends on the step that it begins with, so the request
+    is found by its acceptance. The timeline duty publishes its events at an interval, so the first
+    queries may not show them yet.
     """
     deadline = time.monotonic() + TIMELINE_WAIT_S
     while time.monotonic() < deadline:
         timeline = json.loads(operate(site, "query", "timeline", "--json"))
         for event in timeline["events"]:
-            if event["name"] == "answer_checked":
+            if event["name"] == "request_accepted":
                 return event["request"]
         time.sleep(TIMELINE_POLL_S)
-    raise RuntimeError(f"no answer_checked event in the timeline within {TIMELINE_WAIT_S} s")
+    raise RuntimeError(f"no request_accepted event in the timeline within {TIMELINE_WAIT_S} s")
 
 
 def print_addresses(site):
@@ -97,7 +98,7 @@
         ask_cascade(site)
         issue_label(site)
         look_up_lot(site)
-        print(operate(site, "query", "timeline", f"--request={cascade_request(site)}").rstrip())
+        print(operate(site, "query", "timeline", f"--request={first_request(site)}").rstrip())
         if keep:
             print_addresses(site)
             input("Press Enter to stop.\n")
