--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -237,15 +237,18 @@
   endpoint.avoid_until = now + kGreyAvoid;
 }
 
-void EndpointPool::UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report) {
+void EndpointPool::UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report,
+                                 bool sets_usual) {
   const double latency = RelativeLatency(report);
   double& mean = latency_.try_emplace({report.route, report.model}, latency).first->second;
   const double ratio = latency / std::max(mean, 1e-3);
   endpoint.slowness += kSlownessSmoothing * (std::min(ratio, 10.0) - endpoint.slowness);
+  if (!sets_usual) return;
   mean += kLatencySmoothing * (std::min(latency, kSlowAnswerFactor * mean) - mean);
 }
 
-void EndpointPool::OnReport(const AttemptReport& report, Duration cold_time, MonotonicTime now) {
+void EndpointPool::OnReport(const AttemptReport& report, Duration cold_time, bool sets_usual,
+                            MonotonicTime now) {
   PooledEndpoint* const alive = FindAlive(report.endpoint, report.started);
   if (alive == nullptr) return;
   PooledEndpoint& endpoint = *alive;
@@ -254,7 +257,7 @@
     endpoint.pending_work -= std::min(endpoint.pending_work, report.work.value());
   }
   if (report.head_latency && report.outcome == AttemptOutcome::kGood) {
-    UpdateLatency(endpoint, report);
+    UpdateLatency(endpoint, report, sets_usual);
   }
   if (report.outcome == AttemptOutcome::kGood) {
     endpoint.failures_in_a_row = 0;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -74,7 +74,10 @@
   PooledEndpoint* Choose(const EndpointNeed& need, Random& random, MonotonicTime now);
   void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
-  void OnReport(const AttemptReport& report, Duration cold_time, MonotonicTime now);
+  /// @param sets_usual Whether the time of the answer counts to what is usual; that of a version on
+  /// trial must not, since it is judged by it.
+  void OnReport(const AttemptReport& report, Duration cold_time, bool sets_usual,
+                MonotonicTime now);
 
   /// Replaces what the other entry reported before.
   void NotePending(const IncarnationId& entry, const std::vector<PendingWork>& pending,
@@ -110,7 +113,7 @@
   static void NoteLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
                        MonotonicTime now);
   void JudgeHealth(PooledEndpoint& endpoint, MonotonicTime now);
-  void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report);
+  void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report, bool sets_usual);
 
   AvailabilityZoneId local_zone_;
   double cold_overrun_;
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(ColdEndpointGetsItsShareOnly);
   CPPUNIT_TEST(RestartUnderTheSameIdIsCold);
   CPPUNIT_TEST(UnorderedVersionWaits);
+  CPPUNIT_TEST(SlowVersionDoesNotBecomeUsual);
   CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
   CPPUNIT_TEST_SUITE_END();
@@ -209,6 +210,22 @@
     CPPUNIT_ASSERT(EndpointsOf(30) == std::set<EndpointId>{EndpointId("e2")});
   }
 
+  // Guards against a version whose slow answers become what is usual, so that it is completed
+  // (deploy/days/slow-version varied, EMVA seed 194038581098).
+  void SlowVersionDoesNotBecomeUsual() {
+    Install(1, {"k1"});
+    state_->Apply(
+        EndpointDelta{{MakeEndpoint("e1", "z1", "v1"), MakeEndpoint("e2", "z1", "v2")}, {}});
+    OrderRollout();
+    for (int i = 0; i < 100; ++i) state_->Apply(Answer("e1", "v1", milliseconds(50)));
+    for (int i = 0; i < 60; ++i) {
+      state_->Apply(Answer("e2", "v2", milliseconds(i % 2 == 0 ? 50 : 400)));
+    }
+    state_->Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_->Count(Event::kRolloutJudgedBad));
+    CPPUNIT_ASSERT(EndpointsOf(30) == std::set<EndpointId>{EndpointId("e1")});
+  }
+
   void RetriesAvoidTriedEndpoints() {
     Install(1, {"k1"});
     state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
@@ -256,6 +273,29 @@
     delta.covered_until = clock_->Now();
     state_->Apply(delta);
   }
+  void OrderRollout() {
+    OperatorDelta delta;
+    delta.rows.emplace_back();
+    delta.rows.back().rollout = RolloutOrder{kService, VersionId("v2"), seconds(24), 41};
+    delta.covered_until = clock_->Now();
+    delta.store_read = clock_->Now();
+    delta.store_now = seconds(5);
+    state_->Apply(delta);
+    RolloutProgress progress;
+    progress.service = kService;
+    progress.target = VersionId("v2");
+    progress.order_revision = 41;
+    state_->Apply(RouterDelta{{}, {progress}});
+  }
+  static AttemptReport Answer(const std::string& id, const std::string& version, Duration latency) {
+    AttemptReport report;
+    report.endpoint = EndpointId(id);
+    report.started = StartStamp(1);
+    report.service = kService;
+    report.version = VersionId(version);
+    report.head_latency = latency;
+    return report;
+  }
   ResultCode Code(const std::string& path, const std::string& key) {
     const PlanAnswer answer = state_->Plan(MakeQuery(path, key));
     return answer.plan ? ResultCode::kOk : answer.refusal.code;
