--- a/test/process/support/child_process.cc
+++ b/test/process/support/child_process.cc
@@ -16,9 +16,12 @@
 constexpr std::chrono::milliseconds kPoll{10};
 constexpr mode_t kLogMode = 0644;
 
+/// Processes of this run that ended by themselves.
+int crash_count = 0;
+
 }  // namespace
 
-int ChildProcess::crashes_ = 0;
+int ChildProcess::crashes() { return crash_count; }
 
 ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
                            const std::string& log)
@@ -45,7 +48,7 @@
   if (pid_ < 0) return;
   int status = 0;
   if (waitpid(pid_, &status, WNOHANG) == pid_) {
-    ++crashes_;
+    ++crash_count;
     std::cerr << log_ << ": ended by itself, wait status " << status << '\n';
   } else {
     Signal(SIGKILL);
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -34,13 +34,11 @@
   std::optional<int> Wait(Duration limit);
 
   /// Processes of this run that ended although no test told them to.
-  static int crashes() { return crashes_; }
+  static int crashes();
 
  private:
   void Signal(int number) const;
 
-  static int crashes_;
-
   std::string log_;
   pid_t pid_ = -1;
 };
