Judge a new version by the pace of its events too

Change: EventPace times the events of an attempt, UsualTimes (taken out of EndpointPool) knows the usual interval by route and model, and the comparison of versions has a test of its own for streams whose events come at over twice the usual interval.

--- a/src/bamboodock/codec/event_splitter.cc
+++ b/src/bamboodock/codec/event_splitter.cc
@@ -47,6 +47,7 @@
     const std::optional<std::uint64_t> id = EventId(event);
     if (id && last_id_ && *id <= *last_id_) continue;
     if (id) last_id_ = id;
+    ++taken_;
     taken.append(event);
   }
   pending_.erase(0, used);
--- a/src/bamboodock/codec/event_splitter.h
+++ b/src/bamboodock/codec/event_splitter.h
@@ -23,6 +23,9 @@
   std::optional<std::uint64_t> last_id() const { return last_id_; }
   void set_last_id(std::optional<std::uint64_t> id) { last_id_ = id; }
 
+  /// Number of events taken so far.
+  std::uint64_t taken() const { return taken_; }
+
   /// Whether an event has begun and has not ended.
   bool HasPartial() const { return !pending_.empty(); }
   /// Drops the event that has not ended.
@@ -30,6 +33,7 @@
 
  private:
   std::string pending_;
+  std::uint64_t taken_ = 0;
   std::optional<std::uint64_t> last_id_;
 };
 
--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -8,7 +8,8 @@
 using Json = nlohmann::json;
 
 Json EncodeCounters(const EvidenceCounters& counters) {
-  return Json::array({counters.answers, counters.errors, counters.slow});
+  return Json::array(
+      {counters.answers, counters.errors, counters.slow, counters.streams, counters.slow_streams});
 }
 
 EvidenceCounters DecodeCounters(const Json& json) {
@@ -16,6 +17,8 @@
   counters.answers = json.at(0).get<std::uint64_t>();
   counters.errors = json.at(1).get<std::uint64_t>();
   counters.slow = json.at(2).get<std::uint64_t>();
+  counters.streams = json.at(3).get<std::uint64_t>();
+  counters.slow_streams = json.at(4).get<std::uint64_t>();
   return counters;
 }
 
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -32,13 +32,9 @@
 constexpr double kLeastBad = 2.4;
 /// Excess of an endpoint's share of failures over that of the others.
 constexpr double kExcessShare = 0.25;
-constexpr double kLatencySmoothing = 0.1;
 constexpr double kSlownessSmoothing = 0.2;
-/// An answer is evidence of slowness beyond so many times the usual.
-constexpr double kSlowAnswerFactor = 4.0;
-/// Time to the head of an answer of an idle endpoint: a base, and a time for each prompt token.
-constexpr std::chrono::duration<double> kBaseTime{0.06};
-constexpr std::chrono::duration<double> kTokenTime{25e-6};
+/// Largest ratio that one answer adds to the smoothed one.
+constexpr double kLargestRatio = 10.0;
 /// Ratio from which an endpoint counts as slow in the choice.
 constexpr double kSlow = 2.0;
 
@@ -46,12 +42,6 @@
   return XXH3_64bits_withSeed(id.value().data(), id.value().size(), key);
 }
 
-/// Time to the head of an answer over that expected from the prompt alone.
-double RelativeLatency(const AttemptReport& report) {
-  const std::chrono::duration<double> latency = *report.head_latency;
-  return latency / (kBaseTime + kTokenTime * static_cast<double>(report.prompt_tokens.value()));
-}
-
 bool CountsAsFailure(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kFailure || outcome == AttemptOutcome::kBroken ||
          outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kRefused;
@@ -239,12 +229,9 @@
 
 void EndpointPool::UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report,
                                  bool sets_usual) {
-  const double latency = RelativeLatency(report);
-  double& mean = latency_.try_emplace({report.route, report.model}, latency).first->second;
-  const double ratio = latency / std::max(mean, 1e-3);
-  endpoint.slowness += kSlownessSmoothing * (std::min(ratio, 10.0) - endpoint.slowness);
-  if (!sets_usual) return;
-  mean += kLatencySmoothing * (std::min(latency, kSlowAnswerFactor * mean) - mean);
+  const double ratio = times_.HeadRatio(report);
+  endpoint.slowness += kSlownessSmoothing * (std::min(ratio, kLargestRatio) - endpoint.slowness);
+  if (sets_usual) times_.Learn(report);
 }
 
 void EndpointPool::OnReport(const AttemptReport& report, Duration cold_time, bool sets_usual,
@@ -307,12 +294,6 @@
   return count == 0 ? 0 : total / static_cast<double>(count);
 }
 
-bool EndpointPool::IsSlow(const AttemptReport& report) const {
-  const auto usual = latency_.find({report.route, report.model});
-  if (usual == latency_.end()) return false;
-  return RelativeLatency(report) > kSlowAnswerFactor * usual->second;
-}
-
 bool EndpointPool::HasVersion(const ServiceId& service, const VersionId& version) const {
   return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
     const EndpointRecord& record = entry.second.record;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include "bamboodock/policy/cold_limit.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/sliding_count.h"
+#include "bamboodock/policy/usual_times.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/endpoint_record.h"
 #include "bamboodock/routing/peer_report.h"
@@ -87,8 +88,8 @@
   /// Mean of the pending work of all entries over the service's endpoints that take work.
   double MeanPending(const ServiceId& service, MonotonicTime now) const;
 
-  /// Whether the answer took several times as long as is usual for its route and model.
-  bool IsSlow(const AttemptReport& report) const;
+  /// How the times of the answer compare with what is usual for its route and model.
+  UsualTimes::Verdict Judge(const AttemptReport& report) const { return times_.Judge(report); }
 
   /// Whether an endpoint of this version takes new work.
   bool HasVersion(const ServiceId& service, const VersionId& version) const;
@@ -120,9 +121,7 @@
   std::uint32_t cold_tolerance_;
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
-  /// Smoothed ratio of the time to the head of an answer to that expected from the prompt alone, by
-  /// route and model.
-  std::map<std::pair<RouteId, ModelId>, double> latency_;
+  UsualTimes times_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -35,6 +35,12 @@
                   std::chrono::milliseconds(1));
 }
 
+/// Milliseconds for a log line; -1 when there is no value.
+std::int64_t MillisOrNone(const std::optional<Duration>& time) {
+  if (!time) return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(*time).count();
+}
+
 AttemptOutcome OutcomeOf(CallStatus status) {
   switch (status) {
     case CallStatus::kUnreachable:
@@ -106,17 +112,14 @@
   report.version = plan.version;
   report.outcome = outcome;
   report.head_latency = head_latency_;
+  report.event_interval = pace_.Interval();
   report.work = plan.work;
   report.prompt_tokens = request_->traits.prompt_tokens;
   report.model = plan.model.empty() ? request_->traits.model : plan.model;
-  services_.log.Write(
-      Event::kAttemptEnded, RequestId(request_->traits.attempt.value()),
-      fmt::format(
-          "endpoint={} outcome={} head_ms={} note='{}'", plan.endpoint.value(), Name(outcome),
-          head_latency_
-              ? std::chrono::duration_cast<std::chrono::milliseconds>(*head_latency_).count()
-              : -1,
-          detail));
+  services_.log.Write(Event::kAttemptEnded, RequestId(request_->traits.attempt.value()),
+                      fmt::format("endpoint={} outcome={} head_ms={} event_ms={} note='{}'",
+                                  plan.endpoint.value(), Name(outcome), MillisOrNone(head_latency_),
+                                  MillisOrNone(report.event_interval), detail));
   Post(std::move(report));
 }
 
@@ -232,6 +235,7 @@
   progress_ = plan.progress;
   SetDeadline(*progress_.route);
   head_latency_.reset();
+  pace_ = {};
   if (Left() <= Duration::zero()) {
     Report(plan, AttemptOutcome::kCancelled, "time is over before the send");
     const bool reusable = co_await Expire();
@@ -432,7 +436,9 @@
     const auto wait = AtLeastOneMs(Left());
     const CallPiece piece = co_await call_->Read(wait);
     events_.Append(piece.bytes);
+    const std::uint64_t before = events_.taken();
     std::string events = events_.Take();
+    pace_.Add(events_.taken() - before, services_.clock.Now());
     bool sent = true;
     if (!events.empty()) {
       sent = co_await writer_.Write(std::move(events));
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -9,6 +9,7 @@
 #include "bamboodock/command/router/network_services.h"
 #include "bamboodock/command/router/plan_slot.h"
 #include "bamboodock/policy/attempt_timing.h"
+#include "bamboodock/policy/event_pace.h"
 
 namespace bamboodock {
 
@@ -99,6 +100,7 @@
   std::uint32_t not_run_ = 0;
   MonotonicTime attempt_began_{};
   std::optional<Duration> head_latency_;
+  EventPace pace_;
   /// Attempt that is to take the place of a silent one.
   std::optional<AttemptPlan> planned_;
   /// Failure that an endpoint answered, kept while other endpoints are tried.
--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -12,6 +12,11 @@
 /// Part of the exposure bound that is used; entries that restart lose their counts.
 constexpr double kUsedPart = 0.7;
 
+std::string Describe(const EvidenceCounters& counters) {
+  return fmt::format("answers={} errors={} slow={} streams={} slow_streams={}", counters.answers,
+                     counters.errors, counters.slow, counters.streams, counters.slow_streams);
+}
+
 }  // namespace
 
 void RolloutDesk::Order(const RolloutOrder& order) {
@@ -122,7 +127,7 @@
   if (to_target) ++found->second.exposed;
 }
 
-void RolloutDesk::OnReport(const AttemptReport& report, bool slow) {
+void RolloutDesk::OnReport(const AttemptReport& report, const UsualTimes::Verdict& times) {
   const auto found = rollouts_.find(report.service);
   if (found == rollouts_.end()) return;
   Rollout& rollout = found->second;
@@ -136,7 +141,9 @@
   if (!judged || dropped) return;
   ++own.answers;
   if (failed) ++own.errors;
-  if (slow || silent) ++own.slow;
+  if (times.late_head || silent) ++own.slow;
+  if (report.event_interval) ++own.streams;
+  if (times.slow_events) ++own.slow_streams;
 }
 
 std::vector<RolloutEvidence> RolloutDesk::Evidence() const {
@@ -208,10 +215,8 @@
     rollout.bad = was_bad || IsWorseVersion(total, old);
     if (rollout.bad && !was_bad) {
       log_.Write(Event::kRolloutJudgedBad, RequestId(),
-                 fmt::format("service={} target={} answers={} errors={} slow={} "
-                             "old_answers={} old_errors={} old_slow={}",
-                             service.value(), rollout.order.target.value(), total.answers,
-                             total.errors, total.slow, old.answers, old.errors, old.slow));
+                 fmt::format("service={} target={} new=({}) old=({})", service.value(),
+                             rollout.order.target.value(), Describe(total), Describe(old)));
     }
     const auto open = open_at_old.find(service);
     const RolloutSituation situation =
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -8,6 +8,7 @@
 
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/rollout_schedule.h"
+#include "bamboodock/policy/usual_times.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/operator_orders.h"
 #include "bamboodock/routing/peer_report.h"
@@ -56,7 +57,7 @@
   Ratio trial_share() const { return schedule_.trial_share; }
 
   void OnSend(const ServiceId& service, bool to_target);
-  void OnReport(const AttemptReport& report, bool slow);
+  void OnReport(const AttemptReport& report, const UsualTimes::Verdict& times);
 
   /// Own evidence, with `open_at_old` filled in by the caller.
   std::vector<RolloutEvidence> Evidence() const;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -326,12 +326,12 @@
 
 void RouteState::Apply(const AttemptReport& report) {
   const MonotonicTime now = clock_.Now();
-  const bool slow = report.head_latency && pool_.IsSlow(report);
+  const UsualTimes::Verdict times = pool_.Judge(report);
   const RolloutOrder* order = rollouts_.Find(report.service);
   const bool on_trial = order != nullptr && order->target == report.version &&
                         !rollouts_.IsTargetOnly(report.service);
   pool_.OnReport(report, ColdTime(report.service), !on_trial, now);
-  rollouts_.OnReport(report, slow);
+  rollouts_.OnReport(report, times);
 }
 
 Duration RouteState::ColdTime(const ServiceId& service) const {
--- a/src/bamboodock/policy/evidence_counters.h
+++ b/src/bamboodock/policy/evidence_counters.h
@@ -12,6 +12,9 @@
   std::uint64_t slow = 0;
   std::uint64_t ratings = 0;
   std::uint64_t bad_ratings = 0;
+  /// Streams whose events could be timed, and those whose events came slowly.
+  std::uint64_t streams = 0;
+  std::uint64_t slow_streams = 0;
 
   friend bool operator==(const EvidenceCounters&, const EvidenceCounters&) = default;
 
@@ -20,6 +23,8 @@
     answers += other.answers;
     errors += other.errors;
     slow += other.slow;
+    streams += other.streams;
+    slow_streams += other.slow_streams;
     ratings += other.ratings;
     bad_ratings += other.bad_ratings;
     return *this;
@@ -27,8 +32,13 @@
 
   /// The newer of two reports of one source; counts only rise, so order does not matter.
   static EvidenceCounters Newer(const EvidenceCounters& a, const EvidenceCounters& b) {
-    return {std::max(a.answers, b.answers), std::max(a.errors, b.errors), std::max(a.slow, b.slow),
-            std::max(a.ratings, b.ratings), std::max(a.bad_ratings, b.bad_ratings)};
+    return {std::max(a.answers, b.answers),
+            std::max(a.errors, b.errors),
+            std::max(a.slow, b.slow),
+            std::max(a.ratings, b.ratings),
+            std::max(a.bad_ratings, b.bad_ratings),
+            std::max(a.streams, b.streams),
+            std::max(a.slow_streams, b.slow_streams)};
   }
 };
 
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -104,6 +104,8 @@
   AttemptOutcome outcome = AttemptOutcome::kGood;
   /// Time to the head of the answer; empty when there was none.
   std::optional<Duration> head_latency;
+  /// Mean time between the events of a stream; empty when fewer than two arrived.
+  std::optional<Duration> event_interval;
   Tokens prompt_tokens;
   /// Work of the plan; counted until the head of the answer.
   Tokens work;
--- a/test/command/router/rollout_desk_test.cc
+++ b/test/command/router/rollout_desk_test.cc
@@ -77,7 +77,7 @@
   void BadVersionIsExcludedAtOnce() {
     desk_.Tick(milliseconds(1000 + 5000), {});
     CPPUNIT_ASSERT(!desk_.IsTargetExcluded(kService));
-    for (int i = 0; i < 12; ++i) desk_.OnReport(Report(AttemptOutcome::kFailure), false);
+    for (int i = 0; i < 12; ++i) desk_.OnReport(Report(AttemptOutcome::kFailure), {});
     const auto writes = desk_.Tick(milliseconds(1000 + 5000), {});
     CPPUNIT_ASSERT(writes.size() == 1 && writes[0].state == RolloutState::kRolledBack);
     CPPUNIT_ASSERT(writes[0].revision == 5);
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(RestartUnderTheSameIdIsCold);
   CPPUNIT_TEST(UnorderedVersionWaits);
   CPPUNIT_TEST(SlowVersionDoesNotBecomeUsual);
+  CPPUNIT_TEST(VersionWithSlowEventsIsRolledBack);
   CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
   CPPUNIT_TEST_SUITE_END();
@@ -226,6 +227,27 @@
     CPPUNIT_ASSERT(EndpointsOf(30) == std::set<EndpointId>{EndpointId("e1")});
   }
 
+  // Guards against a version that begins its answers in the usual time and is slow afterwards
+  // (slow-version of EMVA, seed 194038581098).
+  void VersionWithSlowEventsIsRolledBack() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2", "v2")}, {}});
+    OrderRollout();
+    clock_->Advance(seconds(4));
+    Confirm();
+    state_->Tick();
+    for (int i = 0; i < 30; ++i) {
+      AttemptReport old = Answer("e1", "v1", milliseconds(50));
+      old.event_interval = milliseconds(45);
+      state_->Apply(old);
+      AttemptReport target = Answer("e2", "v2", milliseconds(50));
+      target.event_interval = milliseconds(160);
+      state_->Apply(target);
+    }
+    state_->Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_->Count(Event::kRolloutJudgedBad));
+  }
+
   void RetriesAvoidTriedEndpoints() {
     Install(1, {"k1"});
     state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
