Move traffic to a new version so late that the exposure bound holds anyway

Change: PlanPhases derives trial, move and end from the exposure bound and the requests seen so far: trial and last phase together take 0.85 of the bound. On services with little traffic the tolerance allows an earlier move.

--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -75,7 +75,7 @@
   if (found == rollouts_.end()) return std::nullopt;
   const Rollout& rollout = found->second;
   if (draw >= rollout.share) return false;
-  if (rollout.share > schedule_.trial_share.value()) return true;
+  if (!rollout.in_trial) return true;
   const double tolerated = static_cast<double>(limits_.tolerance) / std::max(entries, 1U);
   const double allowed =
       kUsedPart * (limits_.share.value() * static_cast<double>(rollout.requests) + tolerated);
@@ -104,7 +104,7 @@
 
 bool RolloutDesk::InTrial(const ServiceId& service) const {
   const auto found = rollouts_.find(service);
-  return found != rollouts_.end() && found->second.share <= schedule_.trial_share.value();
+  return found != rollouts_.end() && found->second.in_trial;
 }
 
 void RolloutDesk::HoldBack(const ServiceId& service, SessionHash session, MonotonicTime until) {
@@ -162,16 +162,22 @@
   situation.progress = passed / std::chrono::duration<double>(rollout.order.time_limit);
   situation.bad = rollout.bad;
   situation.answers = rollout.own.answers;
+  situation.requests = rollout.own.answers + rollout.own_old.answers;
   situation.open_at_old = own_open;
   for (const auto& [entry, evidence] : rollout.others) {
     situation.answers += evidence.answers.answers;
+    situation.requests += evidence.answers.answers + evidence.old_answers.answers;
     situation.open_at_old += evidence.open_at_old;
   }
   return situation;
 }
 
-void RolloutDesk::SetShare(Rollout& rollout, const RolloutSituation& situation) {
-  const double share = NewVersionShare(schedule_, situation).value();
+void RolloutDesk::SetShare(Rollout& rollout, const RolloutSchedule& schedule,
+                           const RolloutSituation& situation) {
+  // Traffic that has begun to move is not moved back because the expected requests change.
+  const double planned = NewVersionShare(schedule, situation).value();
+  const double share = planned == 0 ? 0 : std::max(planned, rollout.share);
+  rollout.in_trial = share <= schedule.trial_share.value();
   if (share == rollout.share) return;
   rollout.share = share;
   log_.Write(Event::kRolloutShareChanged, RequestId(),
@@ -203,6 +209,7 @@
     }
     if (rollout.progress->state == RolloutState::kCompleted) {
       rollout.share = 1;
+      rollout.in_trial = false;
       continue;
     }
     EvidenceCounters total = rollout.own;
@@ -221,8 +228,9 @@
     const auto open = open_at_old.find(service);
     const RolloutSituation situation =
         Situation(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
-    SetShare(rollout, situation);
-    const RolloutState next = NextState(schedule_, situation);
+    const RolloutSchedule schedule = PlanPhases(limits_, situation);
+    SetShare(rollout, schedule, situation);
+    const RolloutState next = NextState(schedule, situation);
     if (next == situation.state) continue;
     RolloutProgress changed = *rollout.progress;
     changed.state = next;
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -15,12 +15,6 @@
 
 namespace bamboodock {
 
-/// Bounds on the exposure of a service's requests to a version that may be bad.
-struct ExposureLimits {
-  Ratio share{0.15};
-  std::uint32_t tolerance = 30;
-};
-
 /// Rollouts in progress: share of the new version, evidence of all entries, next state.
 ///
 /// Owned by the route duty. The state of a rollout is a row in the store that every entry may write
@@ -54,7 +48,7 @@
   void HoldBack(const ServiceId& service, SessionHash session, MonotonicTime until);
   bool IsHeldBack(const ServiceId& service, SessionHash session, MonotonicTime now) const;
   /// Share of the traffic that tries a target out.
-  Ratio trial_share() const { return schedule_.trial_share; }
+  Ratio trial_share() const { return PlanPhases(limits_, {}).trial_share; }
 
   void OnSend(const ServiceId& service, bool to_target);
   void OnReport(const AttemptReport& report, const UsualTimes::Verdict& times);
@@ -80,18 +74,20 @@
     /// Requests of this entry since the order, and those sent to the target.
     std::uint64_t requests = 0;
     std::uint64_t exposed = 0;
+    /// Share of the traffic that goes to the target, and whether that is a trial only.
     double share = 0;
+    bool in_trial = true;
     std::unordered_map<SessionHash, MonotonicTime> held_back;
   };
 
-  void SetShare(Rollout& rollout, const RolloutSituation& situation);
+  void SetShare(Rollout& rollout, const RolloutSchedule& schedule,
+                const RolloutSituation& situation);
   RolloutSituation Situation(const Rollout& rollout, std::chrono::milliseconds store_now,
                              std::uint64_t own_open) const;
   static RolloutProgress FirstProgress(const Rollout& rollout, std::chrono::milliseconds now);
 
   ExposureLimits limits_;
   EventLog& log_;
-  RolloutSchedule schedule_;
   std::map<ServiceId, Rollout> rollouts_;
   std::map<ServiceId, RolloutProgress> progress_;
 };
