Share a cold endpoint's rate out by rank when there are many entries

An entry that had not read the list of entries took the whole rate for itself.

Change: EntryRanking orders the entries for each endpoint by rendezvous hashing; ColdShare gives what cannot be shared out evenly to the first ones. Cold endpoints are not used, and the entry is not ready, before the entries are listed.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -49,12 +49,23 @@
 
 }  // namespace
 
-EndpointPool::EndpointPool(AvailabilityZoneId local_zone, double cold_overrun,
+EndpointPool::EndpointPool(HostId self, AvailabilityZoneId local_zone, double cold_overrun,
                            std::uint32_t cold_tolerance)
-    : local_zone_(std::move(local_zone)),
+    : ranking_(std::move(self)),
+      local_zone_(std::move(local_zone)),
       cold_overrun_(cold_overrun),
       cold_tolerance_(cold_tolerance) {}
 
+void EndpointPool::SetOtherEntries(std::vector<HostId> others) {
+  ranking_.SetOthers(std::move(others));
+}
+
+std::uint32_t EndpointPool::ColdShareOf(const PooledEndpoint& endpoint,
+                                        const ColdBound& bound) const {
+  if (!ranking_.known()) return 0;
+  return ColdShare(bound, ranking_.size(), ranking_.Rank(endpoint.record.id));
+}
+
 void EndpointPool::Upsert(const EndpointRecord& record, Duration cold_time, MonotonicTime now) {
   PooledEndpoint& endpoint = endpoints_[record.id];
   const bool same = endpoint.record.started == record.started &&
@@ -150,8 +161,8 @@
 PooledEndpoint* EndpointPool::Choose(const EndpointNeed& need, Random& random, MonotonicTime now) {
   const ColdBound bound{need.service->cold_rate, cold_overrun_, cold_tolerance_};
   const bool limited = bound.rate.value() > 0;
-  const std::uint32_t share = limited ? ColdShare(bound, need.entries) : 0;
-  // Warm endpoints may turn cold unnoticed, so those below the cold share go first.
+  // Warm endpoints may turn cold unnoticed, so those below the usual cold share go first.
+  const std::uint32_t usual = std::max(1U, ColdShare(bound, ranking_.size(), ranking_.size()));
   std::vector<PooledEndpoint*> usable;
   for (auto& [id, endpoint] : endpoints_) {
     if (Usable(endpoint, need)) usable.push_back(&endpoint);
@@ -161,8 +172,9 @@
   std::vector<PooledEndpoint*> busy;
   std::vector<PooledEndpoint*> avoided;
   for (PooledEndpoint* endpoint : usable) {
-    const bool below = !limited || endpoint->arrivals.Count(now) < share;
     const bool cold = now < endpoint->cold_until;
+    const std::uint32_t share = cold ? ColdShareOf(*endpoint, bound) : usual;
+    const bool below = !limited || endpoint->arrivals.Count(now) < share;
     if (limited && cold && !below) continue;
     if (now < endpoint->avoid_until) {
       if (below) avoided.push_back(endpoint);
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -9,6 +9,7 @@
 #include "bamboodock/core/clock.h"
 #include "bamboodock/policy/answer_record.h"
 #include "bamboodock/policy/cold_limit.h"
+#include "bamboodock/policy/entry_ranking.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/sliding_count.h"
 #include "bamboodock/policy/usual_times.h"
@@ -52,7 +53,6 @@
   std::uint64_t affinity = 0;
   /// Tokens of the prompt's shared parts, which an endpoint that has them need not read.
   Tokens shared;
-  std::uint32_t entries = 1;
   /// Share of the usable endpoints that may be chosen; below 1 while a version is tried out, so
   /// that each of them bears its usual load.
   Ratio spread{1.0};
@@ -61,7 +61,11 @@
 /// All registered endpoints with their load and health; owned by the route duty.
 class EndpointPool {
  public:
-  EndpointPool(AvailabilityZoneId local_zone, double cold_overrun, std::uint32_t cold_tolerance);
+  EndpointPool(HostId self, AvailabilityZoneId local_zone, double cold_overrun,
+               std::uint32_t cold_tolerance);
+
+  /// Tells which other entries there are; until then cold endpoints are not used.
+  void SetOtherEntries(std::vector<HostId> others);
 
   /// Adds or changes an endpoint; `cold_time` is used when the endpoint has started anew.
   void Upsert(const EndpointRecord& record, Duration cold_time, MonotonicTime now);
@@ -101,6 +105,8 @@
   const PooledEndpoint* Find(const EndpointId& id) const;
 
  private:
+  /// Requests that this entry may send to the endpoint in a second while it is cold.
+  std::uint32_t ColdShareOf(const PooledEndpoint& endpoint, const ColdBound& bound) const;
   bool Usable(const PooledEndpoint& endpoint, const EndpointNeed& need) const;
   static double PendingOfAll(const PooledEndpoint& endpoint, MonotonicTime now);
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
@@ -116,6 +122,7 @@
   void JudgeHealth(PooledEndpoint& endpoint, MonotonicTime now);
   void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report, bool sets_usual);
 
+  EntryRanking ranking_;
   AvailabilityZoneId local_zone_;
   double cold_overrun_;
   std::uint32_t cold_tolerance_;
--- a/src/bamboodock/command/router/peer_view.h
+++ b/src/bamboodock/command/router/peer_view.h
@@ -48,6 +48,13 @@
     return silent;
   }
 
+  /// All other entries.
+  std::vector<HostId> Others() const {
+    std::set<HostId> hosts = rows_;
+    for (const auto& [host, heard] : heard_) hosts.insert(host);
+    return {hosts.begin(), hosts.end()};
+  }
+
   /// Number of entries, this one included.
   std::uint32_t Entries() const {
     std::size_t unknown = 0;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -90,7 +90,8 @@
       clock_(clock),
       random_(random),
       log_(log),
-      pool_(identity_.availability_zone, limits.cold_overrun, limits.cold_tolerance),
+      pool_(identity_.host, identity_.availability_zone, limits.cold_overrun,
+            limits.cold_tolerance),
       rollouts_(limits.exposure, log),
       sessions_(limits.session_time),
       peers_(identity_.host),
@@ -99,7 +100,7 @@
 Duration RouteState::ConfigAge() const { return clock_.Now() - config_covered_; }
 
 MonotonicTime RouteState::ReadyUntil() const {
-  if (table_ == nullptr || !endpoints_listed_) return {};
+  if (table_ == nullptr || !endpoints_listed_ || !routers_listed_) return {};
   return config_covered_ + limits_.key_freshness;
 }
 
@@ -251,7 +252,6 @@
   need.tried = &progress.tried;
   need.shared = SharedTokens(request.traits);
   if (need.shared >= kLeastShared) need.affinity = AffinityKey(request.traits);
-  need.entries = peers_.Entries();
   need.spread = choice.spread;
   PooledEndpoint* endpoint = pool_.Choose(need, random_, now);
   if (endpoint == nullptr && choice.may_fall_back) {
@@ -394,11 +394,13 @@
 }
 
 void RouteState::Apply(const RouterDelta& delta) {
+  routers_listed_ = true;
   for (const PeerRecord& peer : delta.peers) {
     if (!peers_.AddRow(peer.host)) continue;
     log_.Write(Event::kPeerJoined, RequestId(),
                fmt::format("host={} address={}", peer.host.value(), peer.gossip.ToString()));
   }
+  pool_.SetOtherEntries(peers_.Others());
   for (const RolloutProgress& progress : delta.rollouts) rollouts_.Apply(progress);
 }
 
@@ -406,6 +408,7 @@
   const auto hearing = peers_.Hear(report.host, report.incarnation, clock_.Now());
   if (!hearing.replaced.empty()) rollouts_.Forget(hearing.replaced);
   if (hearing.is_new) {
+    if (routers_listed_) pool_.SetOtherEntries(peers_.Others());
     log_.Write(
         Event::kPeerHeard, RequestId(),
         fmt::format("host={} incarnation={}", report.host.value(), report.incarnation.value()));
@@ -426,6 +429,7 @@
   for (const auto& [host, incarnation] : peers_.TakeSilent(now, kPeerSilence)) {
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.Forget(incarnation);
+    if (routers_listed_) pool_.SetOtherEntries(peers_.Others());
   }
   if (table_ == nullptr) return {};
   std::map<ServiceId, std::uint64_t> open;
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -46,7 +46,8 @@
   std::vector<RolloutProgress> Tick();
   PeerReport OwnReport() const;
 
-  /// Whether requests can be routed: there is a configuration, it is fresh, endpoints are listed.
+  /// Whether requests can be routed: there is a configuration, it is fresh, endpoints and entries
+  /// are listed.
   bool Ready() const;
   /// Until when the router is ready if nothing more is heard from the store.
   MonotonicTime ReadyUntil() const;
@@ -93,6 +94,7 @@
   std::chrono::milliseconds store_now_{0};
   MonotonicTime store_read_{};
   bool endpoints_listed_ = false;
+  bool routers_listed_ = false;
   EndpointPool pool_;
   RolloutDesk rollouts_;
   SessionPins sessions_;
--- a/src/bamboodock/policy/cold_limit.h
+++ b/src/bamboodock/policy/cold_limit.h
@@ -15,13 +15,18 @@
   std::uint32_t tolerance = 5;
 };
 
-/// Requests that one of `entries` entries may send to a cold endpoint in a second; at least one,
-/// since the sum of single requests is covered by the tolerance only on small deployments.
-inline std::uint32_t ColdShare(const ColdBound& bound, std::uint32_t entries) {
+/// Requests that one of `entries` entries may send to a cold endpoint in a second.
+///
+/// @param rank Place of the entry in an order of all entries that is alike at all of them, from 0.
+/// What cannot be shared out evenly goes to the first ones; on large deployments the others get
+/// nothing.
+inline std::uint32_t ColdShare(const ColdBound& bound, std::uint32_t entries, std::uint32_t rank) {
   // Part of the bound that is planned for; the rest covers entries that do not know each other yet.
   constexpr double kPlannedPart = 0.75;
   const double all = bound.rate.value() * bound.overrun + bound.tolerance;
-  return std::max(1U, static_cast<std::uint32_t>(kPlannedPart * all / std::max(entries, 1U)));
+  const auto planned = static_cast<std::uint32_t>(kPlannedPart * all);
+  const std::uint32_t count = std::max(entries, 1U);
+  return planned / count + (rank < planned % count ? 1 : 0);
 }
 
 }  // namespace bamboodock
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(EvacuatedZoneGetsNothing);
   CPPUNIT_TEST(ReturningZoneIsTreatedAsCold);
   CPPUNIT_TEST(ColdEndpointGetsItsShareOnly);
+  CPPUNIT_TEST(ColdEndpointWaitsForTheListOfEntries);
   CPPUNIT_TEST(RestartUnderTheSameIdIsCold);
   CPPUNIT_TEST(UnorderedVersionWaits);
   CPPUNIT_TEST(SlowVersionDoesNotBecomeUsual);
@@ -189,6 +190,24 @@
     CPPUNIT_ASSERT_EQUAL(100, CountPlans(100));
   }
 
+  // Guards against an entry that takes itself for the only one before it has read who the others
+  // are, while they all do the same.
+  void ColdEndpointWaitsForTheListOfEntries() {
+    OperatorDelta delta;
+    delta.rows.emplace_back();
+    delta.rows.back().config = MakeTable(1, {"k1"});
+    delta.covered_until = clock_->Now();
+    state_->Apply(delta);
+    EndpointRecord cold = MakeEndpoint("e1");
+    cold.cold_remaining = seconds(3);
+    state_->Apply(EndpointDelta{{cold}, {}});
+    CPPUNIT_ASSERT(!state_->Ready());
+    CPPUNIT_ASSERT_EQUAL(0, CountPlans(20));
+    state_->Apply(RouterDelta{});
+    CPPUNIT_ASSERT(state_->Ready());
+    CPPUNIT_ASSERT(CountPlans(20) > 0);
+  }
+
   // Guards against counts of an earlier life of an endpoint.
   void RestartUnderTheSameIdIsCold() {
     Install(1, {"k1"});
@@ -231,7 +250,7 @@
   // (slow-version of EMVA, seed 194038581098).
   void VersionWithSlowEventsIsRolledBack() {
     Install(1, {"k1"});
-    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2", "v2")}, {}});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2", "z1", "v2")}, {}});
     OrderRollout();
     clock_->Advance(seconds(4));
     Confirm();
@@ -281,6 +300,7 @@
     delta.rows.back().config = MakeTable(version, keys);
     delta.covered_until = clock_->Now();
     state_->Apply(delta);
+    state_->Apply(RouterDelta{});
   }
   void Confirm() {
     OperatorDelta delta;
