Gather changes of the store's tables before the next call

Change: after changes of the endpoints or of the router's own table the next call waits 250 or 500 ms.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -16,6 +16,11 @@
 /// Changes of endpoints arrive at once; keep-alive probes find a silent connection.
 constexpr std::chrono::milliseconds kEndpointWait{3000};
 constexpr std::chrono::milliseconds kRouterWait{8000};
+/// Pauses after changes. An order of the operator must be in force within seconds, a draining
+/// endpoint must get nothing after two; entries and rollouts may take longer.
+constexpr std::chrono::milliseconds kOperatorGather{0};
+constexpr std::chrono::milliseconds kEndpointGather{250};
+constexpr std::chrono::milliseconds kRouterGather{500};
 /// Time for an answer beyond the wait that was asked for.
 constexpr std::chrono::milliseconds kAnswerTimeout{900};
 /// Pauses between tries while the store does not answer.
@@ -39,9 +44,11 @@
       listener_(listener),
       log_(log),
       inbox_(loop_, kInboxCapacity, [this](StoreOrder& order) { Receive(order); }),
-      operator_watch_(codec.OperatorTable(), kOperatorWait, loop_.get_executor(), store),
-      endpoint_watch_(codec.EndpointTable(), kEndpointWait, loop_.get_executor(), store),
-      router_watch_(codec.RouterTable(), kRouterWait, loop_.get_executor(), store),
+      operator_watch_(codec.OperatorTable(), kOperatorWait, kOperatorGather, loop_.get_executor(),
+                      store),
+      endpoint_watch_(codec.EndpointTable(), kEndpointWait, kEndpointGather, loop_.get_executor(),
+                      store),
+      router_watch_(codec.RouterTable(), kRouterWait, kRouterGather, loop_.get_executor(), store),
       writer_(loop_.get_executor(), store) {}
 
 void StoreDuty::Start() {
@@ -203,6 +210,7 @@
   std::vector<StoreRow> expired = TakeExpired(watch);
   changes.insert(changes.end(), expired.begin(), expired.end());
   (this->*emit)(changes);
+  if (!changes.empty() && watch.gather.count() > 0) co_await Pause(watch.gather);
   co_return true;
 }
 
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -54,13 +54,19 @@
 
  private:
   struct Watch {
-    Watch(std::string name, std::chrono::milliseconds feed_wait, asio::any_io_executor executor,
+    Watch(std::string name, std::chrono::milliseconds feed_wait,
+          std::chrono::milliseconds gather_time, asio::any_io_executor executor,
           const Address& store)
-        : table(std::move(name)), wait(feed_wait), channel(std::move(executor), store) {}
+        : table(std::move(name)),
+          wait(feed_wait),
+          gather(gather_time),
+          channel(std::move(executor), store) {}
 
     std::string table;
     /// Longest time that the store holds a feed call.
     std::chrono::milliseconds wait;
+    /// Pause after changes, so that one call brings those that follow closely.
+    std::chrono::milliseconds gather;
     AsyncHttpChannel channel;
     bool listed = false;
     bool failing = false;
