Hand the freshness of the configuration on between entries

Change: reports between entries hold a digest of the table's rows and the store's time of the reading. An entry with the same rows takes it over by its own lower bound of the clock offset, so a report that was held up vouches for no later time. While others vouch, the feed call is held for 1.6 to 2.5 s. Ruled out: the largest revision in place of the digest; an entry that lists the table after a row was removed would vouch for entries that still hold the row.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -55,7 +55,8 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending};
+  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending,
+                     Json::array({report.orders.digest, report.orders.until.count()})};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
@@ -72,6 +73,8 @@
       report.pending.push_back(
           {EndpointId(work.at(0).get<std::string>()), Tokens(work.at(1).get<std::uint64_t>())});
     }
+    report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
+    report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
     return report;
   } catch (const Json::exception&) {
     // The caller logs the datagram; any host can send one.
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -35,6 +35,8 @@
   }
   // A report that finds no room is made up for by the next one.
   static_cast<void>(outlets_.send_report(state_.OwnReport()));
+  // Without this the store duty asks the store more often, which does no harm.
+  static_cast<void>(outlets_.peers_cover(state_.peers_cover()));
   PublishStatus();
   ReportDroppedLines();
   return std::chrono::steady_clock::now() + kTickInterval;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -15,6 +15,8 @@
   std::function<bool(PlannedAttempt)> planned;
   std::function<bool(const RolloutProgress&)> write_progress;
   std::function<bool(PeerReport)> send_report;
+  /// Tells the store duty until when the other entries vouch for the configuration.
+  std::function<bool(MonotonicTime)> peers_cover;
 };
 
 /// Duty that owns `RouteState`: answers plan queries and takes in everything that changes it.
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -44,6 +45,10 @@
   /// Store's clock with the time of its reading, both as the last answer told them.
   std::chrono::milliseconds store_now{0};
   MonotonicTime store_read{};
+  /// The same coverage as other entries understand it.
+  OrderCoverage orders;
+  /// See `StoreClock::offset`.
+  std::optional<Duration> store_offset;
 };
 
 /// Changes of the endpoint registrations.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -373,6 +373,18 @@
   config_covered_ = std::max(config_covered_, delta.covered_until);
   store_now_ = delta.store_now;
   store_read_ = delta.store_read;
+  store_offset_ = delta.store_offset;
+  orders_ = delta.orders;
+}
+
+void RouteState::TakeCoverage(const OrderCoverage& orders) {
+  if (!store_offset_ || orders.until.count() == 0 || orders.digest != orders_.digest) return;
+  const MonotonicTime covered(orders.until + *store_offset_);
+  // A time that has not come yet is of another life of the store's clock.
+  if (covered > clock_.Now()) return;
+  peers_cover_ = std::max(peers_cover_, covered);
+  config_covered_ = std::max(config_covered_, covered);
+  orders_.until = std::max(orders_.until, orders.until);
 }
 
 void RouteState::Apply(const EndpointDelta& delta) {
@@ -413,6 +425,7 @@
         Event::kPeerHeard, RequestId(),
         fmt::format("host={} incarnation={}", report.host.value(), report.incarnation.value()));
   }
+  TakeCoverage(report.orders);
   pool_.NotePending(report.incarnation, report.pending, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_time;
   for (const RolloutEvidence& evidence : report.rollouts) {
@@ -443,7 +456,7 @@
 
 PeerReport RouteState::OwnReport() const {
   PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
-                    pool_.Pending(kMostPending)};
+                    pool_.Pending(kMostPending), orders_};
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOthers(evidence.service, order->target);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -55,6 +55,8 @@
   std::string Knowledge() const;
   Ref<const RouteTable> table() const { return table_; }
   Duration ConfigAge() const;
+  /// Until when the other entries vouch for the configuration.
+  MonotonicTime peers_cover() const { return peers_cover_; }
   std::uint32_t entries() const { return peers_.Entries(); }
   std::size_t endpoint_count() const { return pool_.size(); }
 
@@ -81,6 +83,8 @@
   RepeatBudget& Budget(const ServiceId& service);
   void Install(const Ref<const RouteTable>& table);
   void ApplyEvacuation(const OperatorRow& row);
+  /// Takes over that another entry has seen no newer order than this one knows.
+  void TakeCoverage(const OrderCoverage& orders);
   Duration ColdTime(const ServiceId& service) const;
 
   RouterIdentity identity_;
@@ -91,6 +95,9 @@
 
   Ref<const RouteTable> table_;
   MonotonicTime config_covered_{};
+  MonotonicTime peers_cover_{};
+  OrderCoverage orders_;
+  std::optional<Duration> store_offset_;
   std::chrono::milliseconds store_now_{0};
   MonotonicTime store_read_{};
   bool endpoints_listed_ = false;
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -44,9 +44,12 @@
                  PlanningOutlets{
                      [this](PlannedAttempt planned) { return network.Post(std::move(planned)); },
                      [this](const RolloutProgress& progress) {
-                       return store.Post({progress, std::nullopt});
+                       return store.Post({progress, std::nullopt, std::nullopt});
                      },
-                     [this](PeerReport report) { return peers.Post(std::move(report)); }},
+                     [this](PeerReport report) { return peers.Post(std::move(report)); },
+                     [this](MonotonicTime until) {
+                       return store.Post({std::nullopt, std::nullopt, until});
+                     }},
                  log),
         network(
             settings.callers, settings.readiness,
@@ -120,7 +123,7 @@
 
 void RouterProcess::Reload(const RouterSettings& settings) {
   parts_->log.Write(Event::kSettingsReloaded, RequestId(), "store=" + settings.store.ToString());
-  if (!parts_->store.Post({std::nullopt, settings.store})) {
+  if (!parts_->store.Post({std::nullopt, settings.store, std::nullopt})) {
     parts_->log.Write(Event::kStoreFailed, RequestId(), "code=ring_full: address not taken over");
   }
 }
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -1,6 +1,7 @@
 #include "bamboodock/command/router/store_duty.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,12 @@
 
 /// How long the store holds a call of the operator's feed; bounds the age of what is known.
 constexpr std::chrono::milliseconds kOperatorWait{1000};
+/// The same while other entries vouch for the orders that are known, so that a call every second is
+/// shared by them; the second figure spreads the calls of the entries over time.
+constexpr std::chrono::milliseconds kSharedOperatorWait{1600};
+constexpr std::chrono::milliseconds kSharedOperatorSpread{900};
+/// Age from which what other entries vouch for does not count.
+constexpr std::chrono::milliseconds kPeersCoverAge{1200};
 /// Changes of endpoints arrive at once; keep-alive probes find a silent connection.
 constexpr std::chrono::milliseconds kEndpointWait{3000};
 constexpr std::chrono::milliseconds kRouterWait{8000};
@@ -109,7 +116,10 @@
   NoteSuccess(watch);
   store_clock_.Observe(sent, answer->store_now);
   const MonotonicTime made = store_clock_.EarliestAnswerTime(sent, received, answer->store_now);
-  if (&watch == &operator_watch_) covered_until_ = std::max(covered_until_, made);
+  if (&watch == &operator_watch_) {
+    covered_until_ = std::max(covered_until_, made);
+    orders_until_ = answer->store_now;
+  }
   store_now_ = answer->store_now;
   store_read_ = received;
   co_return answer;
@@ -188,6 +198,11 @@
 std::chrono::milliseconds StoreDuty::FeedWait(const Watch& watch) const {
   std::chrono::milliseconds wait = watch.wait;
   const MonotonicTime now = clock_.Now();
+  if (&watch == &operator_watch_ && now - peers_cover_ < kPeersCoverAge) {
+    const std::string& host = self_.host.value();
+    const auto spread = XXH3_64bits(host.data(), host.size()) % kSharedOperatorSpread.count();
+    wait = kSharedOperatorWait + std::chrono::milliseconds(spread);
+  }
   for (const auto& [key, until] : watch.lapsed) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
     wait = std::clamp(left, std::chrono::milliseconds(1), wait);
@@ -231,8 +246,17 @@
   }
 }
 
+OrderCoverage StoreDuty::Orders() const {
+  OrderCoverage orders{0, orders_until_};
+  for (const auto& [key, revision] : operator_watch_.known) {
+    // A sum does not depend on the order of the rows.
+    orders.digest += XXH3_64bits_withSeed(key.data(), key.size(), revision);
+  }
+  return orders;
+}
+
 void StoreDuty::EmitOperator(const std::vector<StoreRow>& rows) {
-  OperatorDelta delta{{}, covered_until_, store_now_, store_read_};
+  OperatorDelta delta{{}, covered_until_, store_now_, store_read_, Orders(), store_clock_.offset()};
   for (const StoreRow& row : rows) {
     HandleFailure(
         [&]() -> Result<void> {
@@ -310,6 +334,7 @@
     }
     writer_.SetServer(*order.store);
   }
+  if (order.peers_cover) peers_cover_ = *order.peers_cover;
   if (order.progress && writing_.insert(order.progress->service).second) {
     asio::co_spawn(loop_, WriteProgress(*order.progress), asio::detached);
   }
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -34,6 +34,8 @@
   std::optional<RolloutProgress> progress;
   /// New address of the store, if set.
   std::optional<Address> store;
+  /// Until when the other entries vouch for the operator's orders, if set.
+  std::optional<MonotonicTime> peers_cover;
 };
 
 /// Duty that watches the store's tables and writes the router's rows.
@@ -98,6 +100,8 @@
   std::vector<StoreRow> Accept(Watch& watch, std::vector<StoreRow> rows);
   std::vector<StoreRow> MissingRows(const Watch& watch, const std::vector<StoreRow>& listed) const;
   std::vector<StoreRow> TakeExpired(Watch& watch);
+  /// State of the operator's table as of the last answer.
+  OrderCoverage Orders() const;
   std::chrono::milliseconds FeedWait(const Watch& watch) const;
 
   void EmitOperator(const std::vector<StoreRow>& rows);
@@ -116,6 +120,9 @@
   RingInbox<StoreOrder> inbox_;
   StoreClock store_clock_;
   MonotonicTime covered_until_{};
+  MonotonicTime peers_cover_{};
+  /// Store's clock when it last answered for the operator's table.
+  std::chrono::milliseconds orders_until_{0};
   std::chrono::milliseconds store_now_{0};
   MonotonicTime store_read_{};
   Watch operator_watch_;
--- a/src/bamboodock/policy/store_clock.h
+++ b/src/bamboodock/policy/store_clock.h
@@ -22,6 +22,10 @@
     last_ = store_now;
   }
 
+  /// Local time less the store's time, at least; empty before the first exchange. A time of the
+  /// store plus this is never later than the local time of the same moment.
+  std::optional<Duration> offset() const { return offset_; }
+
   /// Earliest local time at which the answer with `store_now` can have been made; between the time
   /// its question was sent and the time it was received.
   MonotonicTime EarliestAnswerTime(MonotonicTime sent, MonotonicTime received,
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -34,12 +35,24 @@
   Tokens work;
 };
 
+/// State of the operator's table at one moment, as an entry has read it. Void while `until` is
+/// zero.
+///
+/// An entry that knows the same rows learns from it that they still hold, without asking the store.
+struct OrderCoverage {
+  /// Digest of the keys and revisions of all rows.
+  std::uint64_t digest = 0;
+  /// The moment, on the store's clock.
+  std::chrono::milliseconds until{0};
+};
+
 /// What an entry tells the others, several times a second.
 struct PeerReport {
   HostId host;
   IncarnationId incarnation;
   std::vector<RolloutEvidence> rollouts;
   std::vector<PendingWork> pending;
+  OrderCoverage orders;
 };
 
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -15,7 +15,8 @@
  public:
   // Guards against evidence that the other entries never see.
   void ReportSurvivesTheDatagram() {
-    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}};
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}, {}};
+    report.orders = {18446744073709551615U, std::chrono::milliseconds(123456)};
     report.pending.push_back({EndpointId("e1"), Tokens(12000)});
     RolloutEvidence evidence{
         ServiceId("s1"), 41, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
@@ -35,6 +36,8 @@
     CPPUNIT_ASSERT(read->rollouts[0].old_answers == evidence.old_answers);
     CPPUNIT_ASSERT(read->rollouts[0].open_at_old == 3);
     CPPUNIT_ASSERT(read->rollouts[0].held_back == evidence.held_back);
+    CPPUNIT_ASSERT(read->orders.digest == report.orders.digest);
+    CPPUNIT_ASSERT(read->orders.until == report.orders.until);
   }
 
   // Guards against datagrams of other programs that end the process.
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -78,6 +78,8 @@
   CPPUNIT_TEST(DrainingAndGoneEndpointsGetNothing);
   CPPUNIT_TEST(EvacuatedZoneGetsNothing);
   CPPUNIT_TEST(ReturningZoneIsTreatedAsCold);
+  CPPUNIT_TEST(OtherEntriesVouchForTheConfiguration);
+  CPPUNIT_TEST(OtherOrdersVouchForNothing);
   CPPUNIT_TEST(ColdEndpointGetsItsShareOnly);
   CPPUNIT_TEST(ColdEndpointWaitsForTheListOfEntries);
   CPPUNIT_TEST(RestartUnderTheSameIdIsCold);
@@ -175,6 +177,37 @@
     CPPUNIT_ASSERT(CountPlans(100) <= 18);
   }
 
+  // Guards against keys that are refused although another entry has just read that they hold.
+  void OtherEntriesVouchForTheConfiguration() {
+    Install(1, {"k1"});
+    OperatorDelta read;
+    read.covered_until = clock_->Now();
+    read.orders = {7, milliseconds(5000)};
+    read.store_offset = clock_->Now().time_since_epoch() - milliseconds(5000);
+    state_->Apply(read);
+    clock_->Advance(seconds(5));
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNotFresh);
+    state_->Apply(PeerSays({7, milliseconds(9000)}));
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNoEndpoint);
+    CPPUNIT_ASSERT(state_->ConfigAge() == seconds(1));
+  }
+
+  // Guards against a revoked key that is used on the word of an entry that knows other orders, or
+  // of a report from an earlier life of the store's clock.
+  void OtherOrdersVouchForNothing() {
+    Install(1, {"k1"});
+    OperatorDelta read;
+    read.covered_until = clock_->Now();
+    read.orders = {7, milliseconds(5000)};
+    read.store_offset = clock_->Now().time_since_epoch() - milliseconds(5000);
+    state_->Apply(read);
+    clock_->Advance(seconds(5));
+    state_->Apply(PeerSays({8, milliseconds(9000)}));
+    state_->Apply(PeerSays({7, milliseconds(0)}));
+    state_->Apply(PeerSays({7, milliseconds(10001)}));
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNotFresh);
+  }
+
   // Guards against a cold endpoint that is pushed over: 8.9 x 1.5 + 5 in any second.
   void ColdEndpointGetsItsShareOnly() {
     Install(1, {"k1"});
@@ -302,6 +335,9 @@
     state_->Apply(delta);
     state_->Apply(RouterDelta{});
   }
+  static PeerReport PeerSays(const OrderCoverage& orders) {
+    return {HostId("h2"), IncarnationId("i2"), {}, {}, orders};
+  }
   void Confirm() {
     OperatorDelta delta;
     delta.covered_until = clock_->Now();
