Gather changes of the store's tables for 500 and 1,000 ms

Change: the pauses after changes of the endpoints and of the router's own table are twice as long; a draining endpoint must get nothing after 2 s, so half a second is left room for.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -26,8 +26,8 @@
 /// Pauses after changes. An order of the operator must be in force within seconds, a draining
 /// endpoint must get nothing after two; entries and rollouts may take longer.
 constexpr std::chrono::milliseconds kOperatorGather{0};
-constexpr std::chrono::milliseconds kEndpointGather{250};
-constexpr std::chrono::milliseconds kRouterGather{500};
+constexpr std::chrono::milliseconds kEndpointGather{500};
+constexpr std::chrono::milliseconds kRouterGather{1000};
 /// Time for an answer beyond the wait that was asked for.
 constexpr std::chrono::milliseconds kAnswerTimeout{900};
 /// Pauses between tries while the store does not answer.
