Let a report between entries cost time for the endpoints it names only

Change: the pool keeps which endpoints an entry named last, forgets an entry that ended, and counts versions once for each change of the endpoints.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -67,6 +67,7 @@
 }
 
 void EndpointPool::Upsert(const EndpointRecord& record, Duration cold_time, MonotonicTime now) {
+  versions_.clear();
   PooledEndpoint& endpoint = endpoints_[record.id];
   const bool same = endpoint.record.started == record.started &&
                     endpoint.record.address == record.address && !endpoint.record.id.empty();
@@ -82,7 +83,10 @@
   }
 }
 
-void EndpointPool::Remove(const EndpointId& id) { endpoints_.erase(id); }
+void EndpointPool::Remove(const EndpointId& id) {
+  versions_.clear();
+  endpoints_.erase(id);
+}
 
 void EndpointPool::AssumeCold(const AvailabilityZoneId& zone, Duration cold_time,
                               MonotonicTime now) {
@@ -274,13 +278,24 @@
   }
 }
 
+void EndpointPool::ForgetPending(const IncarnationId& entry) {
+  NotePending(entry, {}, {});
+  named_.erase(entry);
+}
+
 void EndpointPool::NotePending(const IncarnationId& entry, const std::vector<PendingWork>& pending,
                                MonotonicTime now) {
-  for (auto& [id, endpoint] : endpoints_) endpoint.pending_elsewhere.erase(entry);
+  std::vector<EndpointId>& named = named_[entry];
+  for (const EndpointId& id : named) {
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end()) found->second.pending_elsewhere.erase(entry);
+  }
+  named.clear();
   for (const PendingWork& work : pending) {
     const auto found = endpoints_.find(work.endpoint);
     if (found == endpoints_.end()) continue;
     found->second.pending_elsewhere[entry] = {work.work.value(), now};
+    named.push_back(work.endpoint);
   }
 }
 
@@ -313,8 +328,10 @@
   });
 }
 
-std::map<VersionId, std::size_t> EndpointPool::Versions(const ServiceId& service) const {
-  std::map<VersionId, std::size_t> versions;
+const std::map<VersionId, std::size_t>& EndpointPool::Versions(const ServiceId& service) {
+  const auto known = versions_.find(service);
+  if (known != versions_.end()) return known->second;
+  std::map<VersionId, std::size_t>& versions = versions_[service];
   for (const auto& [id, endpoint] : endpoints_) {
     const EndpointRecord& record = endpoint.record;
     if (record.service == service && !record.draining) ++versions[record.version];
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -84,7 +84,9 @@
   void OnReport(const AttemptReport& report, Duration cold_time, bool sets_usual,
                 MonotonicTime now);
 
-  /// Replaces what the other entry reported before.
+  /// Forgets what an entry that has ended reported.
+  void ForgetPending(const IncarnationId& entry);
+  /// Replaces what the other entry reported before; costs time for the endpoints named only.
   void NotePending(const IncarnationId& entry, const std::vector<PendingWork>& pending,
                    MonotonicTime now);
   /// Pending work of this entry, largest first, at most `most` endpoints.
@@ -97,8 +99,8 @@
 
   /// Whether an endpoint of this version takes new work.
   bool HasVersion(const ServiceId& service, const VersionId& version) const;
-  /// Versions of the endpoints that take new work.
-  std::map<VersionId, std::size_t> Versions(const ServiceId& service) const;
+  /// Versions of the endpoints that take new work, with their numbers.
+  const std::map<VersionId, std::size_t>& Versions(const ServiceId& service);
   /// Open attempts of this entry at endpoints of other versions than `target`.
   std::uint64_t OpenAtOthers(const ServiceId& service, const VersionId& target) const;
   std::size_t size() const { return endpoints_.size(); }
@@ -129,6 +131,10 @@
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
   UsualTimes times_;
+  /// Endpoints that each other entry named in its last report.
+  std::map<IncarnationId, std::vector<EndpointId>> named_;
+  /// Answers of `Versions` since an endpoint last changed.
+  std::map<ServiceId, std::map<VersionId, std::size_t>> versions_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -188,7 +188,7 @@
 }
 
 RouteState::VersionChoice RouteState::BaselineChoice(const ServiceId& service) {
-  const auto versions = pool_.Versions(service);
+  const auto& versions = pool_.Versions(service);
   auto known = baseline_.find(service);
   if (known == baseline_.end() || !versions.contains(known->second)) {
     if (versions.empty()) return {[](const VersionId&) { return true; }, false, Ratio(1)};
@@ -418,7 +418,10 @@
 
 void RouteState::Apply(const PeerReport& report) {
   const auto hearing = peers_.Hear(report.host, report.incarnation, clock_.Now());
-  if (!hearing.replaced.empty()) rollouts_.Forget(hearing.replaced);
+  if (!hearing.replaced.empty()) {
+    rollouts_.Forget(hearing.replaced);
+    pool_.ForgetPending(hearing.replaced);
+  }
   if (hearing.is_new) {
     if (routers_listed_) pool_.SetOtherEntries(peers_.Others());
     log_.Write(
@@ -442,6 +445,7 @@
   for (const auto& [host, incarnation] : peers_.TakeSilent(now, kPeerSilence)) {
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.Forget(incarnation);
+    pool_.ForgetPending(incarnation);
     if (routers_listed_) pool_.SetOtherEntries(peers_.Others());
   }
   if (table_ == nullptr) return {};
--- /dev/null
+++ b/test/command/router/endpoint_pool_test.cc
@@ -0,0 +1,68 @@
+#include "bamboodock/command/router/endpoint_pool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace bamboodock {
+namespace {
+
+const ServiceId kService("s1");
+const IncarnationId kEntry("i1");
+const MonotonicTime kNow(std::chrono::seconds(5));
+
+EndpointRecord MakeEndpoint(const std::string& id, const std::string& version) {
+  EndpointRecord record;
+  record.id = EndpointId(id);
+  record.service = kService;
+  record.version = VersionId(version);
+  return record;
+}
+
+}  // namespace
+
+class EndpointPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndpointPoolTest);
+  CPPUNIT_TEST(ReportReplacesTheOneBefore);
+  CPPUNIT_TEST(EndedEntryLeavesNothingPending);
+  CPPUNIT_TEST(VersionsFollowRegistrations);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    pool_.Upsert(MakeEndpoint("e1", "v1"), {}, kNow);
+    pool_.Upsert(MakeEndpoint("e2", "v1"), {}, kNow);
+  }
+
+  // Guards against work that stays counted at endpoints which a report does not name any more.
+  void ReportReplacesTheOneBefore() {
+    pool_.NotePending(kEntry, {{EndpointId("e1"), Tokens(600)}, {EndpointId("gone"), Tokens(1)}},
+                      kNow);
+    CPPUNIT_ASSERT(pool_.MeanPending(kService, kNow) == 300);
+    pool_.NotePending(kEntry, {{EndpointId("e2"), Tokens(200)}}, kNow);
+    CPPUNIT_ASSERT(pool_.MeanPending(kService, kNow) == 100);
+    pool_.Remove(EndpointId("e2"));
+    pool_.NotePending(kEntry, {}, kNow);
+    CPPUNIT_ASSERT(pool_.MeanPending(kService, kNow) == 0);
+  }
+
+  void EndedEntryLeavesNothingPending() {
+    pool_.NotePending(kEntry, {{EndpointId("e1"), Tokens(600)}}, kNow);
+    pool_.ForgetPending(kEntry);
+    CPPUNIT_ASSERT(pool_.MeanPending(kService, kNow) == 0);
+  }
+
+  // Guards against a count of versions that is kept beyond a change of the endpoints.
+  void VersionsFollowRegistrations() {
+    CPPUNIT_ASSERT(pool_.Versions(kService).at(VersionId("v1")) == 2);
+    pool_.Upsert(MakeEndpoint("e2", "v2"), {}, kNow);
+    CPPUNIT_ASSERT(pool_.Versions(kService).at(VersionId("v2")) == 1);
+    pool_.Remove(EndpointId("e2"));
+    CPPUNIT_ASSERT(!pool_.Versions(kService).contains(VersionId("v2")));
+  }
+
+ private:
+  EndpointPool pool_{HostId("h1"), AvailabilityZoneId("z1"), 1.5, 5};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointPoolTest);
+
+}  // namespace bamboodock
