Find a slow version in a short trial

Property tests: at most 1 in 100 good versions is judged, at most 1 in 20 slow ones needs more than 9 streams.

--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -178,13 +178,7 @@
   const double planned = NewVersionShare(schedule, situation).value();
   const double share = planned == 0 ? 0 : std::max(planned, rollout.share);
   rollout.in_trial = share <= schedule.trial_share.value();
-  if (share == rollout.share) return;
   rollout.share = share;
-  log_.Write(Event::kRolloutShareChanged, RequestId(),
-             fmt::format("service={} target={} share={:.2f} progress={:.2f} answers={} "
-                         "open_at_old={}",
-                         rollout.order.service.value(), rollout.order.target.value(), share,
-                         situation.progress, situation.answers, situation.open_at_old));
 }
 
 RolloutProgress RolloutDesk::FirstProgress(const Rollout& rollout, std::chrono::milliseconds now) {
@@ -229,7 +223,16 @@
     const RolloutSituation situation =
         Situation(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
     const RolloutSchedule schedule = PlanPhases(limits_, situation);
+    const double before = rollout.share;
     SetShare(rollout, schedule, situation);
+    if (rollout.share != before) {
+      log_.Write(
+          Event::kRolloutShareChanged, RequestId(),
+          fmt::format("service={} target={} share={:.2f} progress={:.2f} open_at_old={} "
+                      "new=({}) old=({})",
+                      service.value(), rollout.order.target.value(), rollout.share,
+                      situation.progress, situation.open_at_old, Describe(total), Describe(old)));
+    }
     const RolloutState next = NextState(schedule, situation);
     if (next == situation.state) continue;
     RolloutProgress changed = *rollout.progress;
--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -34,7 +34,7 @@
 /// Phases of a rollout, as shares of its time limit.
 struct RolloutSchedule {
   /// Share of the traffic that tries the new version out.
-  Ratio trial_share{0.04};
+  Ratio trial_share{0.05};
   /// The trial begins so late that the entries have told each other which sessions ran before.
   double trial_begin = 0.08;
   /// Traffic moves from here; sessions may not change to the new version in the first half.
@@ -54,10 +54,10 @@
   // Part of the bound that is planned for; the rest covers bursts and entries that restart.
   constexpr double kPlannedPart = 0.85;
   // Part of the share that the trial takes.
-  constexpr double kTrialPart = 0.27;
+  constexpr double kTrialPart = 0.36;
   // Traffic moves and the old version becomes idle in these parts of the last phase.
   constexpr double kMovingPart = 0.15;
-  constexpr double kReservedPart = 0.25;
+  constexpr double kReservedPart = 0.35;
   // The last phase at the least, so that a low bound leaves time to end the rollout.
   constexpr double kShortest = 0.06;
   constexpr double kLongest = 0.48;
--- a/src/bamboodock/policy/version_comparison.h
+++ b/src/bamboodock/policy/version_comparison.h
@@ -45,7 +45,7 @@
   constexpr ComparisonLimits kErrors{0.01, 50, 4.0, 0.03, 5};
   constexpr ComparisonLimits kSlow{0.12, 50, 3.5, 0.12, 8};
   // An engine with many streams is slower than usual in a quarter of them.
-  constexpr ComparisonLimits kSlowStreams{0.25, 20, 3.5, 0.3, 8};
+  constexpr ComparisonLimits kSlowStreams{0.25, 20, 3.5, 0.3, 5};
   return IsWorse(kErrors, target.errors, target.answers, old.errors, old.answers) ||
          IsWorse(kSlow, target.slow, target.answers, old.slow, old.answers) ||
          IsWorse(kSlowStreams, target.slow_streams, target.streams, old.slow_streams, old.streams);
--- a/test/policy/version_comparison_test.cc
+++ b/test/policy/version_comparison_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(FailingVersionsAreFoundSoon);
   CPPUNIT_TEST(SlowVersionsAreFoundInTheTrial);
   CPPUNIT_TEST(FaultsOfBothVersionsCancelOut);
+  CPPUNIT_TEST(SlowStreamsAreFoundInAShortTrial);
+  CPPUNIT_TEST(BusyEnginesAreNotSlowVersions);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +76,45 @@
     }
     CPPUNIT_ASSERT(judged <= 2);
   }
+
+  // Guards against a slow version that is completed because few of its answers can be timed: a
+  // trial of 14 s timed 9 streams (slow-version of Nilemark, seed 377584978061).
+  void SlowStreamsAreFoundInAShortTrial() {
+    int missed = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      if (StreamsUntilJudged(seed, 0.9, 0.2, 12) > 9) ++missed;
+    }
+    CPPUNIT_ASSERT(missed <= 10);
+  }
+
+  // Guards against the rollback of a good version whose engines are as busy as the others.
+  void BusyEnginesAreNotSlowVersions() {
+    int judged = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+      if (StreamsUntilJudged(seed, 0.2, 0.2, 60) <= 60) ++judged;
+    }
+    CPPUNIT_ASSERT(judged <= 4);
+  }
+
+ private:
+  /// Timed streams of the new version until it is judged; more than `limit` when it never is.
+  static int StreamsUntilJudged(std::uint64_t seed, double slow, double old_slow, int limit) {
+    Random random(seed);
+    EvidenceCounters target;
+    EvidenceCounters old;
+    for (int stream = 1; stream <= limit; ++stream) {
+      ++target.answers;
+      ++target.streams;
+      if (random.Uniform() < slow) ++target.slow_streams;
+      for (int i = 0; i < 15; ++i) {
+        ++old.answers;
+        ++old.streams;
+        if (random.Uniform() < old_slow) ++old.slow_streams;
+      }
+      if (IsWorseVersion(target, old)) return stream;
+    }
+    return limit + 1;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(VersionComparisonTest);
