Split the tick of the rollout desk

Cause: Tick counted the evidence, judged, set the share, logged and wrote rows in one function.

Change: AllAnswers, Judge and Advance; nothing changes in what is decided.

--- a/src/bamboodock/command/router/rollout_desk.cc
+++ b/src/bamboodock/command/router/rollout_desk.cc
@@ -190,6 +190,43 @@
   return progress;
 }
 
+RolloutDesk::Answers RolloutDesk::AllAnswers(const Rollout& rollout) {
+  Answers answers{rollout.own, rollout.own_old};
+  for (const auto& [entry, evidence] : rollout.others) {
+    answers.target += evidence.answers;
+    answers.old += evidence.old_answers;
+  }
+  return answers;
+}
+
+void RolloutDesk::Judge(Rollout& rollout, const Answers& answers) {
+  if (rollout.bad || !IsWorseVersion(answers.target, answers.old)) return;
+  rollout.bad = true;
+  log_.Write(
+      Event::kRolloutJudgedBad, RequestId(),
+      fmt::format("service={} target={} new=({}) old=({})", rollout.order.service.value(),
+                  rollout.order.target.value(), Describe(answers.target), Describe(answers.old)));
+}
+
+RolloutState RolloutDesk::Advance(Rollout& rollout, std::chrono::milliseconds store_now,
+                                  std::uint64_t own_open) {
+  const Answers answers = AllAnswers(rollout);
+  Judge(rollout, answers);
+  const RolloutSituation situation = Situation(rollout, store_now, own_open);
+  const RolloutSchedule schedule = PlanPhases(limits_, situation);
+  const double before = rollout.share;
+  SetShare(rollout, schedule, situation);
+  if (rollout.share != before) {
+    log_.Write(Event::kRolloutShareChanged, RequestId(),
+               fmt::format("service={} target={} share={:.2f} progress={:.2f} open_at_old={} "
+                           "new=({}) old=({})",
+                           rollout.order.service.value(), rollout.order.target.value(),
+                           rollout.share, situation.progress, situation.open_at_old,
+                           Describe(answers.target), Describe(answers.old)));
+  }
+  return NextState(schedule, situation);
+}
+
 std::vector<RolloutProgress> RolloutDesk::Tick(
     std::chrono::milliseconds store_now, const std::map<ServiceId, std::uint64_t>& open_at_old) {
   std::vector<RolloutProgress> writes;
@@ -206,35 +243,10 @@
       rollout.in_trial = false;
       continue;
     }
-    EvidenceCounters total = rollout.own;
-    EvidenceCounters old = rollout.own_old;
-    for (const auto& [entry, evidence] : rollout.others) {
-      total += evidence.answers;
-      old += evidence.old_answers;
-    }
-    const bool was_bad = rollout.bad;
-    rollout.bad = was_bad || IsWorseVersion(total, old);
-    if (rollout.bad && !was_bad) {
-      log_.Write(Event::kRolloutJudgedBad, RequestId(),
-                 fmt::format("service={} target={} new=({}) old=({})", service.value(),
-                             rollout.order.target.value(), Describe(total), Describe(old)));
-    }
     const auto open = open_at_old.find(service);
-    const RolloutSituation situation =
-        Situation(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
-    const RolloutSchedule schedule = PlanPhases(limits_, situation);
-    const double before = rollout.share;
-    SetShare(rollout, schedule, situation);
-    if (rollout.share != before) {
-      log_.Write(
-          Event::kRolloutShareChanged, RequestId(),
-          fmt::format("service={} target={} share={:.2f} progress={:.2f} open_at_old={} "
-                      "new=({}) old=({})",
-                      service.value(), rollout.order.target.value(), rollout.share,
-                      situation.progress, situation.open_at_old, Describe(total), Describe(old)));
-    }
-    const RolloutState next = NextState(schedule, situation);
-    if (next == situation.state) continue;
+    const RolloutState next =
+        Advance(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
+    if (next == rollout.progress->state) continue;
     RolloutProgress changed = *rollout.progress;
     changed.state = next;
     writes.push_back(changed);
--- a/src/bamboodock/command/router/rollout_desk.h
+++ b/src/bamboodock/command/router/rollout_desk.h
@@ -80,8 +80,19 @@
     std::unordered_map<SessionHash, MonotonicTime> held_back;
   };
 
-  void SetShare(Rollout& rollout, const RolloutSchedule& schedule,
-                const RolloutSituation& situation);
+  /// Answers of both versions at all entries.
+  struct Answers {
+    EvidenceCounters target;
+    EvidenceCounters old;
+  };
+
+  static Answers AllAnswers(const Rollout& rollout);
+  void Judge(Rollout& rollout, const Answers& answers);
+  /// Judges the target and sets its share; returns the state that the rollout is to have.
+  RolloutState Advance(Rollout& rollout, std::chrono::milliseconds store_now,
+                       std::uint64_t own_open);
+  static void SetShare(Rollout& rollout, const RolloutSchedule& schedule,
+                       const RolloutSituation& situation);
   RolloutSituation Situation(const Rollout& rollout, std::chrono::milliseconds store_now,
                              std::uint64_t own_open) const;
   static RolloutProgress FirstProgress(const Rollout& rollout, std::chrono::milliseconds now);
