Read a table again when a change of it was not taken in

Cause: found while reading. A change that found no room in the planning ring for 2 s was logged and lost, while its table counted as read; with freshness handed on, other entries would even vouch for it.

Change: the listener says whether it took a change in; if not, the table is listed again and the rows of that change are delivered anew, gone ones as deleted. Reports of the version before, which lack the new counts, are read while a fleet is upgraded. The test fails without the change (no endpoint within 20 s).

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -17,8 +17,9 @@
   counters.answers = json.at(0).get<std::uint64_t>();
   counters.errors = json.at(1).get<std::uint64_t>();
   counters.slow = json.at(2).get<std::uint64_t>();
-  counters.streams = json.at(3).get<std::uint64_t>();
-  counters.slow_streams = json.at(4).get<std::uint64_t>();
+  // Entries of the version before send three counts; they go on while a fleet is upgraded.
+  if (json.size() > 3) counters.streams = json.at(3).get<std::uint64_t>();
+  if (json.size() > 4) counters.slow_streams = json.at(4).get<std::uint64_t>();
   return counters;
 }
 
@@ -73,6 +74,7 @@
       report.pending.push_back(
           {EndpointId(work.at(0).get<std::string>()), Tokens(work.at(1).get<std::uint64_t>())});
     }
+    if (message.size() <= 4) return report;
     report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
     report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
     return report;
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -68,10 +68,12 @@
               clock, *this, log),
         metrics(counters, [this] { return planning.status(); }) {}
 
-  void OnChange(RouteCommand change) override {
+  bool OnChange(RouteCommand change) override {
     const MonotonicTime deadline = std::chrono::steady_clock::now() + kChangeWait;
-    if (planning.PostUntil(std::move(change), deadline)) return;
-    log.Write(Event::kConfigRejected, RequestId(), "code=ring_full: a change was not taken in");
+    if (planning.PostUntil(std::move(change), deadline)) return true;
+    log.Write(Event::kConfigRejected, RequestId(),
+              "code=ring_full: a change was not taken in, the table is read again");
+    return false;
   }
   void OnPeers(const std::vector<PeerRecord>& found) override {
     if (!peers.Post(found)) {
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -191,7 +191,7 @@
   rows.insert(rows.end(), missing.begin(), missing.end());
   watch.listed = true;
   watch.revision = *revision;
-  (this->*emit)(Accept(watch, std::move(rows)));
+  Deliver(watch, emit, Accept(watch, std::move(rows)));
   co_return true;
 }
 
@@ -217,14 +217,14 @@
   std::optional<StoreAnswer> answer = co_await Ask(watch, std::move(request), timeout);
   if (!answer) {
     std::vector<StoreRow> expired = TakeExpired(watch);
-    if (!expired.empty()) (this->*emit)(expired);
+    if (!expired.empty()) Deliver(watch, emit, expired);
     co_return false;
   }
   watch.revision = std::max(watch.revision, answer->revision);
   std::vector<StoreRow> changes = Accept(watch, std::move(answer->rows));
   std::vector<StoreRow> expired = TakeExpired(watch);
   changes.insert(changes.end(), expired.begin(), expired.end());
-  (this->*emit)(changes);
+  Deliver(watch, emit, changes);
   if (!changes.empty() && watch.gather.count() > 0) co_await Pause(watch.gather);
   co_return true;
 }
@@ -246,6 +246,13 @@
   }
 }
 
+void StoreDuty::Deliver(Watch& watch, Emit emit, const std::vector<StoreRow>& rows) {
+  if ((this->*emit)(rows)) return;
+  // With revision 0 a row that is still there is delivered again, and one that is not as deleted.
+  for (const StoreRow& row : rows) watch.known[row.key] = 0;
+  watch.listed = false;
+}
+
 OrderCoverage StoreDuty::Orders() const {
   OrderCoverage orders{0, orders_until_};
   for (const auto& [key, revision] : operator_watch_.known) {
@@ -255,7 +262,7 @@
   return orders;
 }
 
-void StoreDuty::EmitOperator(const std::vector<StoreRow>& rows) {
+bool StoreDuty::EmitOperator(const std::vector<StoreRow>& rows) {
   OperatorDelta delta{{}, covered_until_, store_now_, store_read_, Orders(), store_clock_.offset()};
   for (const StoreRow& row : rows) {
     HandleFailure(
@@ -268,10 +275,10 @@
           log_.Write(Event::kConfigRejected, RequestId(), failure.detail);
         });
   }
-  listener_.OnChange(std::move(delta));
+  return listener_.OnChange(std::move(delta));
 }
 
-void StoreDuty::EmitEndpoints(const std::vector<StoreRow>& rows) {
+bool StoreDuty::EmitEndpoints(const std::vector<StoreRow>& rows) {
   EndpointDelta delta;
   for (const StoreRow& row : rows) {
     if (row.deleted) {
@@ -289,17 +296,17 @@
           delta.removed.emplace_back(row.key);
         });
   }
-  listener_.OnChange(std::move(delta));
+  return listener_.OnChange(std::move(delta));
 }
 
-void StoreDuty::EmitRouter(const std::vector<StoreRow>& rows) {
+bool StoreDuty::EmitRouter(const std::vector<StoreRow>& rows) {
   RouterDelta delta;
   for (const StoreRow& row : rows) {
     if (auto peer = codec_.ReadPeer(row)) delta.peers.push_back(*peer);
     if (auto progress = codec_.ReadProgress(row)) delta.rollouts.push_back(*progress);
   }
   if (!delta.peers.empty()) listener_.OnPeers(delta.peers);
-  listener_.OnChange(std::move(delta));
+  return listener_.OnChange(std::move(delta));
 }
 
 asio::awaitable<void> StoreDuty::Announce() {
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -23,8 +23,8 @@
 class StoreListener {
  public:
   virtual ~StoreListener() = default;
-  /// Called on the store duty's thread. Waits for room, since a change must not be lost.
-  virtual void OnChange(RouteCommand change) = 0;
+  /// Called on the store duty's thread. Waits for room; false when the change was not taken in.
+  virtual bool OnChange(RouteCommand change) = 0;
   virtual void OnPeers(const std::vector<PeerRecord>& peers) = 0;
 };
 
@@ -82,7 +82,7 @@
     std::map<std::string, MonotonicTime> lapsed;
   };
 
-  using Emit = void (StoreDuty::*)(const std::vector<StoreRow>& rows);
+  using Emit = bool (StoreDuty::*)(const std::vector<StoreRow>& rows);
 
   asio::awaitable<void> Follow(Watch& watch, Emit emit);
   asio::awaitable<bool> ListAll(Watch& watch, Emit emit);
@@ -104,9 +104,11 @@
   OrderCoverage Orders() const;
   std::chrono::milliseconds FeedWait(const Watch& watch) const;
 
-  void EmitOperator(const std::vector<StoreRow>& rows);
-  void EmitEndpoints(const std::vector<StoreRow>& rows);
-  void EmitRouter(const std::vector<StoreRow>& rows);
+  /// Hands changes to the listener. The table is listed again when it did not take them in.
+  void Deliver(Watch& watch, Emit emit, const std::vector<StoreRow>& rows);
+  bool EmitOperator(const std::vector<StoreRow>& rows);
+  bool EmitEndpoints(const std::vector<StoreRow>& rows);
+  bool EmitRouter(const std::vector<StoreRow>& rows);
   void Receive(StoreOrder& order);
 
   PeerRecord self_;
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -51,14 +51,24 @@
 /// Keeps the endpoints that the duty reports.
 class Listener final : public StoreListener {
  public:
-  void OnChange(RouteCommand change) override {
+  bool OnChange(RouteCommand change) override {
     const std::lock_guard lock(mutex_);
     if (const auto* delta = std::get_if<EndpointDelta>(&change)) {
+      if (refusals_ > 0) {
+        --refusals_;
+        return false;
+      }
       for (const auto& record : delta->changed) endpoints_.insert(record.id.value());
       for (const auto& id : delta->removed) endpoints_.erase(id.value());
       ++endpoint_changes_;
     }
     changed_.notify_all();
+    return true;
+  }
+  /// Takes in none of the next `count` changes of endpoints.
+  void Refuse(int count) {
+    const std::lock_guard lock(mutex_);
+    refusals_ = count;
   }
   void OnPeers(const std::vector<PeerRecord>&) override {}
 
@@ -76,6 +86,7 @@
   std::condition_variable changed_;
   std::set<std::string> endpoints_;
   int endpoint_changes_ = 0;
+  int refusals_ = 0;
 };
 
 /// Answers the calls that a test does not care for.
@@ -94,6 +105,7 @@
   CPPUNIT_TEST(ListsAndFollows);
   CPPUNIT_TEST(ListsAgainWhenHistoryIsGone);
   CPPUNIT_TEST(KeepsLapsedEndpointsForAWhile);
+  CPPUNIT_TEST(DeliversAgainWhatWasNotTakenIn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +166,17 @@
         });
   }
 
+  // Guards against a change that is lost because the planning duty had no room, while the table
+  // counts as read: no feed brings these rows again.
+  void DeliversAgainWhatWasNotTakenIn() {
+    Run(
+        [](const auto& request, std::size_t) {
+          if (Asks(request, "rows-get", "servers")) return Keep(Rows(EndpointRow("e1", 3), 3));
+          return Otherwise(request);
+        },
+        [](Listener& listener) { CPPUNIT_ASSERT(listener.Await({"e1"})); }, 1);
+  }
+
  private:
   static Answer Keep(std::string bytes) { return {std::move(bytes), Then::kKeep}; }
 
@@ -164,9 +187,10 @@
   }
 
   template <class Check>
-  static void Run(ScriptedServer::Script script, Check check) {
+  static void Run(ScriptedServer::Script script, Check check, int refusals = 0) {
     ScriptedServer store(std::move(script));
     Listener listener;
+    listener.Refuse(refusals);
     {
       NullEventLog log;
       const BootClock clock;
