Settle the linter's findings

A braced statement around co_await, a coroutine that is a function (the analyzer sees paths through a lambda's frame that do not exist) and a loop over whole steps.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -225,7 +225,9 @@
   std::vector<StoreRow> expired = TakeExpired(watch);
   changes.insert(changes.end(), expired.begin(), expired.end());
   Deliver(watch, emit, changes);
-  if (!changes.empty() && watch.gather.count() > 0) co_await Pause(watch.gather);
+  if (!changes.empty() && watch.gather.count() > 0) {
+    co_await Pause(watch.gather);
+  }
   co_return true;
 }
 
--- a/test/command/router/caller_reader_fuzz_test.cc
+++ b/test/command/router/caller_reader_fuzz_test.cc
@@ -94,6 +94,10 @@
   asio::ip::tcp::socket far_;
 };
 
+asio::awaitable<void> ReadInto(CallerReader& reader, CallerRead& read) {
+  read = co_await reader.Read(CallerLimits());
+}
+
 CallerRead ReadOne(const std::string& bytes) {
   asio::io_context loop;
   Pair pair(loop);
@@ -102,9 +106,7 @@
   const BootClock clock;
   CallerReader reader(pair.near, wire, clock);
   CallerRead read;
-  asio::co_spawn(
-      loop, [&]() -> asio::awaitable<void> { read = co_await reader.Read(CallerLimits()); },
-      asio::detached);
+  asio::co_spawn(loop, ReadInto(reader, read), asio::detached);
   loop.run();
   return read;
 }
--- a/test/policy/rollout_schedule_test.cc
+++ b/test/policy/rollout_schedule_test.cc
@@ -99,7 +99,9 @@
     double requests = 0;
     double exposed = 0;
     double share = 0;
-    for (double at = 0; at < limit; at += kStep) {
+    const int steps = static_cast<int>(limit / kStep);
+    for (int step = 0; step < steps; ++step) {
+      const double at = step * kStep;
       RolloutSituation now = Situation(at / limit, 20);
       now.requests = static_cast<std::uint64_t>(requests);
       share = std::max(share, NewVersionShare(PlanPhases(limits, now), now).value());
