Accept fractions for the limits of the router and check them

The flags took whole numbers, so the router ended at its start. A negative limit was accepted, and the second internal port was not read.

The process tests print the threads of all processes when an entry does not become ready, so that the next failure of RestartWhileTheStoreIsDown can be traced.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -1,8 +1,11 @@
+#include <fmt/format.h>
 #include <gflags/gflags.h>
 
 #include <charconv>
 #include <fstream>
 #include <sstream>
+#include <string_view>
+#include <utility>
 
 #include "bamboodock/command/process/address_flags.h"
 #include "bamboodock/command/process/control_signals.h"
@@ -21,21 +24,22 @@
 DEFINE_string(ip, "127.0.0.1", "IP address for datagrams of the other entries and for metrics");
 DEFINE_string(
     internal_ports, "7340,7355",
-    "first and last port for datagrams of the other entries (first) and metrics (second)");
+    "first and last port that this host may use for the other entries: the first one is used for "
+    "datagrams, the next one for metrics");
 DEFINE_string(store, "", "IP:PORT of the platform's metadata store");
 DEFINE_double(repeat_ratio, 0.9,
               "retry budget: attempts beyond the first that each request of a service adds");
-DEFINE_uint32(repeat_extra, 50,
+DEFINE_double(repeat_extra, 50,
               "retry budget: further such attempts in a window, over all entries");
-DEFINE_uint32(repeat_window_s, 10, "retry budget: length of the window in seconds");
+DEFINE_double(repeat_window_s, 10, "retry budget: length of the window in seconds");
 DEFINE_double(exposure_share, 0.15,
               "largest share of a service's requests sent to a new version on trial");
-DEFINE_uint32(exposure_tolerance, 30,
+DEFINE_double(exposure_tolerance, 30,
               "further requests to a new version on trial, over all entries");
 DEFINE_double(cold_overrun, 1.5, "multiple of its cold rate that a cold endpoint tolerates");
-DEFINE_uint32(cold_tolerance, 5,
+DEFINE_double(cold_tolerance, 5,
               "further requests per second to a cold endpoint, over all entries");
-DEFINE_uint32(revoke_ms, 5000,
+DEFINE_double(revoke_ms, 5000,
               "time in milliseconds within which every entry refuses a removed API key");
 DEFINE_double(session_s, 5,
               "session timeout: longest time between two requests of one session in seconds");
@@ -43,7 +47,7 @@
 DEFINE_string(least_confidence, "60",
               "confidence (0 to 100) below which an answer of the smallest model is discarded; one "
               "for each route priority from 0 on, the last one for all further priorities");
-DEFINE_bool(metrics, true, "serve metrics on the second internal port");
+DEFINE_bool(metrics, true, "serve metrics on the internal port after the first");
 DEFINE_string(log_level, "info", "debug, info, warn or error");
 DEFINE_bool(check, false, "check the settings and exit");
 
@@ -73,15 +77,47 @@
   return content;
 }
 
-/// Parses the first of the internal ports.
-Result<std::uint16_t> ParseFirstInternalPort() {
+/// Ports of this host for the other entries and for metrics.
+struct InternalPorts {
+  std::uint16_t datagrams = 0;
+  std::uint16_t metrics = 0;
+};
+
+Result<InternalPorts> ParseInternalPorts() {
   const std::string& text = FLAGS_internal_ports;
-  std::uint16_t port = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), port);
-  if (parsed.ec != std::errc{} || port == 0) {
-    return Raise(ResultCode::kBadSetting, "--internal_ports: '" + text + "' is not FIRST,LAST");
+  const char* const end = text.data() + text.size();
+  std::uint16_t first = 0;
+  std::uint16_t last = 0;
+  const auto comma = std::from_chars(text.data(), end, first);
+  const bool has_last = comma.ec == std::errc{} && comma.ptr != end && *comma.ptr == ',';
+  const auto parsed = has_last ? std::from_chars(comma.ptr + 1, end, last) : comma;
+  if (!has_last || parsed.ec != std::errc{} || parsed.ptr != end || first == 0 || last <= first) {
+    return Raise(ResultCode::kBadSetting,
+                 "--internal_ports: '" + text + "' is not FIRST,LAST with LAST above FIRST");
+  }
+  return InternalPorts{first, static_cast<std::uint16_t>(first + 1)};
+}
+
+/// Checks the limits that must not be negative.
+Result<void> CheckLimits() {
+  const std::pair<std::string_view, double> limits[]{
+      {"repeat_ratio", FLAGS_repeat_ratio},
+      {"repeat_extra", FLAGS_repeat_extra},
+      {"repeat_window_s", FLAGS_repeat_window_s},
+      {"exposure_share", FLAGS_exposure_share},
+      {"exposure_tolerance", FLAGS_exposure_tolerance},
+      {"cold_overrun", FLAGS_cold_overrun},
+      {"cold_tolerance", FLAGS_cold_tolerance},
+      {"revoke_ms", FLAGS_revoke_ms},
+      {"session_s", FLAGS_session_s},
+      {"grace_s", FLAGS_grace_s},
+  };
+  for (const auto& [name, value] : limits) {
+    if (value >= 0) continue;
+    return Raise(ResultCode::kBadSetting,
+                 fmt::format("--{}: {} is not a number from 0 on", name, value));
   }
-  return port;
+  return {};
 }
 
 Result<std::vector<std::uint32_t>> ParseConfidences() {
@@ -103,7 +139,7 @@
 RouterLimits ReadLimits() {
   RouterLimits limits;
   limits.repeats = {Ratio(FLAGS_repeat_ratio), FLAGS_repeat_extra,
-                    std::chrono::seconds(FLAGS_repeat_window_s)};
+                    Seconds(FLAGS_repeat_window_s)};
   limits.exposure = {Ratio(FLAGS_exposure_share), FLAGS_exposure_tolerance};
   limits.cold_overrun = FLAGS_cold_overrun;
   limits.cold_tolerance = FLAGS_cold_tolerance;
@@ -120,9 +156,10 @@
   BOOST_LEAF_ASSIGN(settings.callers, ParseAddressFlag("callers", FLAGS_callers));
   BOOST_LEAF_ASSIGN(settings.readiness, ParseAddressFlag("readiness", FLAGS_readiness));
   BOOST_LEAF_ASSIGN(settings.store, ParseAddressFlag("store", FLAGS_store));
-  BOOST_LEAF_AUTO(port, ParseFirstInternalPort());
-  settings.gossip = {FLAGS_ip, port};
-  if (FLAGS_metrics) settings.metrics = Address{FLAGS_ip, static_cast<std::uint16_t>(port + 1)};
+  BOOST_LEAF_AUTO(ports, ParseInternalPorts());
+  settings.gossip = {FLAGS_ip, ports.datagrams};
+  if (FLAGS_metrics) settings.metrics = Address{FLAGS_ip, ports.metrics};
+  BOOST_LEAF_CHECK(CheckLimits());
   settings.limits = ReadLimits();
   BOOST_LEAF_ASSIGN(settings.limits.least_confidence, ParseConfidences());
   settings.grace = Seconds(FLAGS_grace_s);
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -51,7 +51,7 @@
 }  // namespace
 
 EndpointPool::EndpointPool(HostId self, AvailabilityZoneId local_zone, double cold_overrun,
-                           std::uint32_t cold_tolerance)
+                           double cold_tolerance)
     : ranking_(std::move(self)),
       local_zone_(std::move(local_zone)),
       cold_overrun_(cold_overrun),
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -65,7 +65,7 @@
 class EndpointPool {
  public:
   EndpointPool(HostId self, AvailabilityZoneId local_zone, double cold_overrun,
-               std::uint32_t cold_tolerance);
+               double cold_tolerance);
 
   /// Sets the other entries, which share the rate of cold endpoints. Before the first call cold
   /// endpoints with a rate limit are not chosen.
@@ -138,7 +138,7 @@
   EntryRanking ranking_;
   AvailabilityZoneId local_zone_;
   double cold_overrun_;
-  std::uint32_t cold_tolerance_;
+  double cold_tolerance_;
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
   LatencyBaseline latency_baseline_;
--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -77,7 +77,7 @@
   const Rollout& rollout = found->second;
   if (sample >= rollout.share) return false;
   if (!rollout.in_trial) return true;
-  const double tolerated = static_cast<double>(limits_.tolerance) / std::max(entries, 1U);
+  const double tolerated = limits_.tolerance / std::max(entries, 1U);
   const double allowed =
       kUsableExposureFraction *
       (limits_.share.value() * static_cast<double>(rollout.requests) + tolerated);
--- a/src/bamboodock/command/router/router_limits.h
+++ b/src/bamboodock/command/router/router_limits.h
@@ -16,7 +16,7 @@
   ExposureLimits exposure;
   /// A cold endpoint tolerates this multiple of its rate plus `cold_tolerance` requests per second.
   double cold_overrun = 1.5;
-  std::uint32_t cold_tolerance = 5;
+  double cold_tolerance = 5;
   /// Requests that need an API key are refused when the configuration is older than this.
   Duration max_config_age = std::chrono::milliseconds(3750);
   /// A session keeps its version while its requests follow each other within this time.
--- a/src/bamboodock/policy/cold_rate_limit.h
+++ b/src/bamboodock/policy/cold_rate_limit.h
@@ -13,7 +13,7 @@
   /// Multiple of the rate above which the endpoint may fail.
   double overrun = 1.5;
   /// Requests that the endpoint tolerates beyond that multiple in any second.
-  std::uint32_t tolerance = 5;
+  double tolerance = 5;
 };
 
 /// Number of requests that one of `entries` entries may send to a cold endpoint in any second.
--- a/src/bamboodock/policy/repeat_budget.h
+++ b/src/bamboodock/policy/repeat_budget.h
@@ -13,7 +13,7 @@
   /// Repeats allowed per request.
   Ratio ratio{0.9};
   /// Further repeats allowed in each window, for all entries together.
-  std::uint32_t extra = 50;
+  double extra = 50;
   Duration window = std::chrono::seconds(10);
 };
 
@@ -34,7 +34,7 @@
     // Fraction of the limit that is used; the rest covers entries that restart with empty counts.
     constexpr double kUsedFraction = 0.8;
     const double base = limits_.ratio.value() * static_cast<double>(requests_.Count(now));
-    const double extra = static_cast<double>(limits_.extra) / std::max(entries, 1U);
+    const double extra = limits_.extra / std::max(entries, 1U);
     if (static_cast<double>(repeats_.Count(now)) + 1 > kUsedFraction * (base + extra)) return false;
     repeats_.Add(now);
     return true;
--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -13,7 +13,7 @@
   /// Share of the requests of the service.
   Ratio share{0.15};
   /// Further requests, for all entries together.
-  std::uint32_t tolerance = 30;
+  double tolerance = 30;
 };
 
 /// State of a rollout at the time at which its next step is decided.
--- a/test/process/support/child_process.cc
+++ b/test/process/support/child_process.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
@@ -21,6 +23,10 @@
 
 }  // namespace
 
+std::string BinaryFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string() + "/";
+}
+
 int ChildProcess::unexpected_exits() { return unexpected_exit_count; }
 
 ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
@@ -77,6 +83,23 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::string ChildProcess::ThreadStates() const {
+  std::string text;
+  std::error_code error;
+  const std::filesystem::path tasks = "/proc/" + std::to_string(pid_) + "/task";
+  for (const auto& task : std::filesystem::directory_iterator(tasks, error)) {
+    std::string state;
+    std::string wait_channel;
+    std::ifstream status(task.path() / "status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("State:")) state = line.substr(line.find_first_not_of("State:\t "));
+    }
+    std::ifstream(task.path() / "wchan") >> wait_channel;
+    text += task.path().filename().string() + " " + state + " " + wait_channel + "\n";
+  }
+  return text.empty() ? "process has ended\n" : text;
+}
+
 void ChildProcess::Signal(int number) const {
   if (pid_ > 0) kill(pid_, number);
 }
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -10,6 +10,10 @@
 
 namespace bamboodock::process_test {
 
+/// Folder of this program, with a slash at its end. The programs under test are started from it, so
+/// that a copy of the folder tests the programs in the copy.
+std::string BinaryFolder();
+
 /// Child process; killed on destruction.
 class ChildProcess {
  public:
@@ -35,6 +39,10 @@
   /// a timeout.
   std::optional<int> Wait(Duration timeout);
 
+  /// One line per thread with its id, state and the kernel function that it waits in. States that a
+  /// process has ended when it has none.
+  std::string ThreadStates() const;
+
   /// Number of processes of this run that exited although no test stopped them.
   static int unexpected_exits();
 
--- a/test/process/support/deployment.cc
+++ b/test/process/support/deployment.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <iostream>
 #include <utility>
 
 #include "bamboodock/codec/digest.h"
@@ -21,12 +22,6 @@
 
 HttpHeader Authorization() { return {"Authorization", std::string("Bearer ") + kApiKey}; }
 
-/// Folder of this program. The programs under test are started from it, so that a copy of the
-/// folder tests the programs in the copy.
-std::string BinaryFolder() {
-  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string() + "/";
-}
-
 }  // namespace
 
 DeploymentPlan& DeploymentPlan::Entries(std::size_t count) {
@@ -204,7 +199,7 @@
 }
 
 bool Deployment::AwaitReady(std::size_t entry) const {
-  return WaitFor([&] {
+  const bool ready = WaitFor([&] {
     if (Get(caller_address(entry), "/readyz").status != 200) return false;
     const nlohmann::json status = Status(entry);
     std::size_t up = 0;
@@ -215,6 +210,13 @@
     }
     return up == plan_.endpoints_.size();
   });
+  if (ready) return true;
+  // States of the processes, since logs do not show why a process that hangs or has ended is silent.
+  std::cerr << "entry " << entry << " is not ready, status " << Status(entry).dump() << "\n";
+  for (const auto& [name, process] : processes_) {
+    std::cerr << name << " threads:\n" << process->ThreadStates();
+  }
+  return false;
 }
 
 Reply Deployment::Chat(std::size_t entry, const std::string& model, const std::string& prompt,
