Keep the repeat budget for failed requests and escalate only what can end in time

Attempts that reached no endpoint counted as repeats, and a request that waited for its first plan counted once for each query.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -138,8 +138,7 @@
 
 RouterLimits ReadLimits() {
   RouterLimits limits;
-  limits.repeats = {Ratio(FLAGS_repeat_ratio), FLAGS_repeat_extra,
-                    Seconds(FLAGS_repeat_window_s)};
+  limits.repeats = {Ratio(FLAGS_repeat_ratio), FLAGS_repeat_extra, Seconds(FLAGS_repeat_window_s)};
   limits.exposure = {Ratio(FLAGS_exposure_share), FLAGS_exposure_tolerance};
   limits.cold_overrun = FLAGS_cold_overrun;
   limits.cold_tolerance = FLAGS_cold_tolerance;
--- a/src/bamboodock/command/router/network_duty.cc
+++ b/src/bamboodock/command/router/network_duty.cc
@@ -102,7 +102,8 @@
 }
 
 bool NetworkDuty::IsReady() const {
-  return drain_.phase == DrainPhase::kOpen && services_.clock.Now() < services_.status()->ready_until;
+  return drain_.phase == DrainPhase::kOpen &&
+         services_.clock.Now() < services_.status()->ready_until;
 }
 
 asio::awaitable<void> NetworkDuty::AcceptReadiness() {
--- a/src/bamboodock/command/router/network_duty.h
+++ b/src/bamboodock/command/router/network_duty.h
@@ -30,8 +30,8 @@
   ///
   /// Runs as one step on the duty's thread, so that no request is read and then dropped.
   void CloseIdle();
-  /// Ends the requests that are still open: callers without an answer are refused, begun streams end
-  /// truncated. Any thread may call it, after `CloseIdle`.
+  /// Ends the requests that are still open: callers without an answer are refused, begun streams
+  /// end truncated. Any thread may call it, after `CloseIdle`.
   void AbortOpen();
   /// Waits until no connection has a request after `CloseIdle`; false after `limit`.
   bool AwaitIdle(Duration limit);
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -6,11 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "bamboodock/routing/request_deadline.h"
+
 namespace bamboodock {
 namespace {
 
-/// Deadline of a request if neither its caller nor its route sets one.
-constexpr std::chrono::seconds kDefaultDeadline{60};
 /// Time limit for an answer of the planning duty.
 constexpr std::chrono::milliseconds kPlanTimeout{1500};
 /// A request is refused after more attempts than this that did not run.
@@ -64,7 +64,7 @@
       executor_(std::move(executor)),
       writer_(writer),
       request_(std::move(request)),
-      deadline_(request_->arrived + request_->metadata.time_left.value_or(kDefaultDeadline)) {
+      deadline_(RequestDeadline(*request_, nullptr)) {
   events_.set_last_id(request_->metadata.last_event);
 }
 
@@ -86,10 +86,9 @@
 Duration RequestExchange::TimeLeft() const { return deadline_ - services_.clock.Now(); }
 
 void RequestExchange::SetDeadline(const Route& route) {
-  if (route.timeout <= Duration::zero()) return;
-  const MonotonicTime by_route = request_->arrived + route.timeout;
-  route_sets_deadline_ = by_route < deadline_;
-  deadline_ = std::min(deadline_, by_route);
+  const MonotonicTime by_route = RequestDeadline(*request_, &route);
+  route_sets_deadline_ = by_route < RequestDeadline(*request_, nullptr);
+  deadline_ = by_route;
 }
 
 bool RequestExchange::IsLastAttempt() const {
@@ -124,6 +123,12 @@
   report.outcome = outcome;
   report.head_latency = head_latency_;
   report.event_interval = event_interval_.Interval();
+  report.max_output_tokens = request_->metadata.max_output_tokens;
+  report.sent = sent_;
+  report.repeat = plan.repeat;
+  const bool whole_stream = outcome == AttemptOutcome::kSuccess && IsStreamRoute() &&
+                            !request_->metadata.last_event.has_value();
+  if (whole_stream) report.stream_events = events_.taken();
   report.work = plan.work;
   report.prompt_tokens = request_->metadata.prompt_tokens;
   report.model = plan.model.empty() ? request_->metadata.model : plan.model;
@@ -205,6 +210,7 @@
 
 void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
   head_latency_.reset();
+  sent_ = false;
   Report(plan, AttemptOutcome::kCancelled, "request ended before the attempt was sent");
 }
 
@@ -258,6 +264,7 @@
   progress_ = plan.progress;
   SetDeadline(*progress_.route);
   head_latency_.reset();
+  sent_ = false;
   event_interval_ = {};
   if (TimeLeft() <= Duration::zero()) {
     Report(plan, AttemptOutcome::kCancelled, "deadline exceeded before the request was sent");
@@ -291,6 +298,8 @@
   forward.last_event = events_.last_id();
   attempt_started_ = services_.clock.Now();
   ++runs_;
+  ++progress_.sent;
+  sent_ = true;
   std::vector<HttpHeader> added = services_.protocol.AttemptHeaders(*request_, forward);
   call_->Send(request_, std::move(added));
   const Duration soft_timeout =
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -111,6 +111,8 @@
   /// Attempts whose request certainly did not run.
   std::uint32_t not_run_ = 0;
   MonotonicTime attempt_started_{};
+  /// Whether the endpoint of the current attempt may have received the request.
+  bool sent_ = false;
   std::optional<Duration> head_latency_;
   MeanEventInterval event_interval_;
   /// Attempt that replaces one without an answer.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bamboodock/routing/request_deadline.h"
+
 namespace bamboodock {
 namespace {
 
@@ -130,7 +132,7 @@
   if (resolved.refusal.code != ResultCode::kOk) return resolved;
   if (query.reason == PlanReason::kNextModel && !ShouldEscalate(query, progress)) {
     return Refuse(query, ResultCode::kOverloaded,
-                  "confidence of the smaller model suffices at this load");
+                  "confidence of the smaller model suffices at this load and time left");
   }
   return ChooseAttempt(query, std::move(progress));
 }
@@ -179,10 +181,17 @@
   return table_->FindService(route.services.back().service);
 }
 
-bool RouteState::ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) const {
-  const double pending = pool_.MeanPending(progress.service->id, clock_.Now());
-  const double min_confidence = escalation_.LeastConfidence(*progress.route, pending);
-  return query.confidence < min_confidence;
+bool RouteState::ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) {
+  const MonotonicTime now = clock_.Now();
+  const ServiceId& service = progress.service->id;
+  const Tokens output = query.request->metadata.max_output_tokens;
+  EscalationConditions conditions;
+  conditions.pending_tokens = pool_.MeanPending(service, now);
+  conditions.budget_used = BudgetOf(service).UsedPart(now, peers_.EntryCount());
+  conditions.expected =
+      pace_.Expected(progress.route->id, query.model, output).value_or(Duration::zero());
+  conditions.left = RequestDeadline(*query.request, progress.route) - now;
+  return query.confidence < escalation_.LeastConfidence(*progress.route, conditions);
 }
 
 RepeatBudget& RouteState::BudgetOf(const ServiceId& service) {
@@ -263,7 +272,6 @@
     requirements.subset_share = Ratio(1);
     endpoint = pool_.Choose(requirements, random_, now);
   }
-  if (query.reason == PlanReason::kFirst) budget.OnRequest(now);
   if (endpoint == nullptr) {
     PlanAnswer refused = Refuse(query, ResultCode::kNoEndpoint,
                                 fmt::format("no usable endpoint, service={} tried={}",
@@ -272,7 +280,10 @@
     refused.table = progress.table;
     return refused;
   }
-  if (query.reason != PlanReason::kFirst && !budget.TryRepeat(now, peers_.EntryCount())) {
+  // A request waits for its first plan with several queries, of which only the last one counts.
+  if (query.reason == PlanReason::kFirst) budget.OnRequest(now);
+  const bool repeat = progress.sent > 0;
+  if (repeat && !budget.TryRepeat(now, peers_.EntryCount())) {
     return Refuse(query, ResultCode::kRetryBudgetSpent, "retry budget of the service exhausted");
   }
   ModelId model = request.metadata.model;
@@ -294,6 +305,7 @@
   plan.started = endpoint->record.started;
   plan.version = version;
   plan.work = work;
+  plan.repeat = repeat;
   plan.suspect = endpoint->answers.bad(now) > kSuspectWeight;
   if (request.metadata.any_model) plan.model = model;
   const RoutedAccount* account = table_->FindAccount(request.metadata.key);
@@ -337,6 +349,8 @@
   const bool on_trial = order != nullptr && order->target == report.version &&
                         !rollouts_.IsTargetOnly(report.service);
   pool_.OnReport(report, ColdTime(report.service), !on_trial, now);
+  pace_.Learn(report);
+  if (report.repeat && !report.sent) BudgetOf(report.service).OnUnsent(now);
   rollouts_.OnReport(report, latency);
 }
 
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -15,6 +15,7 @@
 #include "bamboodock/policy/model_escalation.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/repeat_budget.h"
+#include "bamboodock/policy/stream_pace.h"
 
 namespace bamboodock {
 
@@ -78,7 +79,7 @@
                                      const RolloutOrder& order);
   VersionChoice ChooseBaselineVersion(const ServiceId& service);
   const RoutedService* ChooseService(const PlanQuery& query, const Route& route) const;
-  bool ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) const;
+  bool ShouldEscalate(const PlanQuery& query, const RequestProgress& progress);
   Tokens EstimateWork(const CallerRequest& request, const RoutedService& service,
                       const ModelId& model) const;
   RepeatBudget& BudgetOf(const ServiceId& service);
@@ -109,6 +110,7 @@
   SessionPins sessions_;
   PeerView peers_;
   ModelEscalation escalation_;
+  StreamPace pace_;
   std::map<ServiceId, RepeatBudget> budgets_;
   /// Active version by service when there is no rollout.
   std::map<ServiceId, VersionId> baseline_;
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -150,9 +150,9 @@
   std::this_thread::sleep_for(kLoadBalancerDelay);
   parts.network.CloseIdle();
   if (!parts.network.AwaitIdle(drain_deadline - parts.clock.Now())) {
-    parts.log.Write(Event::kStopping, RequestId(),
-                    fmt::format("grace time is over, ending open_requests={}",
-                                parts.network.open_requests()));
+    parts.log.Write(
+        Event::kStopping, RequestId(),
+        fmt::format("grace time is over, ending open_requests={}", parts.network.open_requests()));
     parts.network.AbortOpen();
     parts.network.AwaitIdle(kAbortTimeout);
   }
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -34,6 +34,8 @@
   const RoutedService* service = nullptr;
   ClientAccountId account;
   std::vector<EndpointId> tried;
+  /// Attempts whose request an endpoint may have received.
+  std::uint32_t sent = 0;
   /// Model and version of the previous attempt.
   ModelId model;
   VersionId version;
@@ -53,6 +55,8 @@
   /// Whether the endpoint failed or did not answer recently; a suspect endpoint gets a shorter
   /// timeout.
   bool suspect = false;
+  /// Whether the attempt uses the repeat budget.
+  bool repeat = false;
   /// The request must not be sent after this time: the configuration behind the decision is then
   /// too old.
   MonotonicTime valid_until;
@@ -108,6 +112,14 @@
   std::optional<Duration> head_latency;
   /// Mean time between events of a stream; empty when fewer than two events arrived.
   std::optional<Duration> event_interval;
+  /// Events of a complete stream, over all of its attempts; 0 otherwise.
+  std::uint64_t stream_events = 0;
+  /// Largest number of output tokens that the caller accepts; 0 when it is not stated.
+  Tokens max_output_tokens;
+  /// Whether the endpoint may have received the request.
+  bool sent = false;
+  /// `AttemptPlan::repeat`.
+  bool repeat = false;
   Tokens prompt_tokens;
   /// `AttemptPlan::work`; counts as pending until the head of the answer arrives.
   Tokens work;
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(VersionWithSlowEventsIsRolledBack);
   CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
+  CPPUNIT_TEST(UnsentAttemptsDoNotUseTheRepeatBudget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -332,6 +333,28 @@
     CPPUNIT_ASSERT(ChosenEndpoints(10) == std::set<EndpointId>{EndpointId("e2")});
   }
 
+  // Guards against requests that are refused because attempts that reached no endpoint counted as
+  // repeats.
+  void UnsentAttemptsDoNotUseTheRepeatBudget() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
+    int refused = 0;
+    for (int i = 0; i < 100; ++i) {
+      PlanQuery query = MakeQuery("/a/", "k1");
+      const PlanAnswer first = state_->Plan(query);
+      CPPUNIT_ASSERT(first.plan);
+      query.reason = PlanReason::kNotRun;
+      query.progress = first.plan->progress;
+      const PlanAnswer second = state_->Plan(query);
+      if (!second.plan) ++refused;
+      CPPUNIT_ASSERT(!second.plan || !second.plan->repeat);
+      query.progress.sent = 1;
+      const PlanAnswer repeat = state_->Plan(query);
+      CPPUNIT_ASSERT(!repeat.plan || repeat.plan->repeat);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, refused);
+  }
+
  private:
   void Install(std::uint64_t version, const std::vector<std::string>& keys) {
     OperatorDelta delta;
--- a/test/command/router/router_process_test.cc
+++ b/test/command/router/router_process_test.cc
@@ -46,7 +46,9 @@
     const platform::PlatformDirectoryCodec directory;
     const platform::TableStoreProtocol store;
     const auto process = HandleFailure(
-        [&]() { return RouterProcess::Start(settings, {wire, directory, store}); },
+        [&]() {
+          return RouterProcess::Start(settings, {wire, directory, store});
+        },
         [](const Failure&) { return std::unique_ptr<RouterProcess>(); });
     CPPUNIT_ASSERT(process != nullptr);
     boost::asio::io_context loop;
--- a/test/process/router_settings_test.cc
+++ b/test/process/router_settings_test.cc
@@ -36,9 +36,9 @@
 
   // Guards against a router that serves with limits that make no sense.
   void WrongValuesAreRefused() {
-    for (const char* flag : {"--repeat_extra=-1", "--cold_tolerance=-0.5", "--revoke_ms=soon",
-                             "--internal_ports=7340", "--internal_ports=7340,7340",
-                             "--internal_ports=7340,7355x", "--no_such_flag=1"}) {
+    for (const char* flag :
+         {"--repeat_extra=-1", "--cold_tolerance=-0.5", "--revoke_ms=soon", "--internal_ports=7340",
+          "--internal_ports=7340,7340", "--internal_ports=7340,7355x", "--no_such_flag=1"}) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(flag, kExitInvalidSetting, CheckSettings(flag));
     }
   }
--- a/test/process/support/deployment.cc
+++ b/test/process/support/deployment.cc
@@ -211,7 +211,8 @@
     return up == plan_.endpoints_.size();
   });
   if (ready) return true;
-  // States of the processes, since logs do not show why a process that hangs or has ended is silent.
+  // States of the processes, since logs do not show why a process that hangs or has ended is
+  // silent.
   std::cerr << "entry " << entry << " is not ready, status " << Status(entry).dump() << "\n";
   for (const auto& [name, process] : processes_) {
     std::cerr << name << " threads:\n" << process->ThreadStates();
