Detect stalled streams and give up answers without end

Cause: after each chunk its line end stays in the buffer of the call, so AwaitBytes returned at once and the read that followed waited until the deadline. Bytes that complete no event also restarted the wait. An endless chunk extension or event grew in memory without a bound, an endless body to 16 MiB, interim heads were read until the deadline, and a head that trickled in held its request until then.

Change: EndpointCall parses all that it can and waits for the socket only then. The idle time of a stream runs from its last complete event.

Result: eight tests in NetworkDutyTest; SlowStreamIsNotCut failed before the change of EndpointCall, since no replacement was asked for.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -44,6 +44,10 @@
 DEFINE_double(session_s, 5,
               "session timeout: longest time between two requests of one session in seconds");
 DEFINE_double(grace_s, 8, "longest time that a graceful shutdown may take in seconds");
+DEFINE_uint32(max_answer_head_bytes, 32768, "largest head of an endpoint's answer in bytes");
+DEFINE_uint32(max_answer_bytes, 4194304,
+              "largest body of an endpoint's answer that is not a stream, in bytes");
+DEFINE_uint32(max_event_bytes, 262144, "largest event of an endpoint's stream in bytes");
 DEFINE_string(least_confidence, "60",
               "confidence (0 to 100) below which an answer of the smallest model is discarded; one "
               "for each route priority from 0 on, the last one for all further priorities");
@@ -161,6 +165,9 @@
   BOOST_LEAF_CHECK(CheckLimits());
   settings.limits = ReadLimits();
   BOOST_LEAF_ASSIGN(settings.limits.least_confidence, ParseConfidences());
+  settings.answer_limits.head = Bytes(FLAGS_max_answer_head_bytes);
+  settings.answer_limits.body = Bytes(FLAGS_max_answer_bytes);
+  settings.answer_limits.event = Bytes(FLAGS_max_event_bytes);
   settings.grace = Seconds(FLAGS_grace_s);
   return settings;
 }
--- a/src/bamboodock/codec/event_splitter.h
+++ b/src/bamboodock/codec/event_splitter.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "bamboodock/core/units.h"
+
 namespace bamboodock {
 
 /// Splits a byte stream of server-sent events into complete events.
@@ -26,6 +28,8 @@
   /// Number of events taken so far.
   std::uint64_t taken() const { return taken_; }
 
+  /// Size of the incomplete event that is pending.
+  Bytes partial_size() const { return Bytes(pending_.size()); }
   /// Whether an incomplete event is pending.
   bool HasPartial() const { return !pending_.empty(); }
   /// Discards the incomplete event.
--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -1,5 +1,6 @@
 #include "bamboodock/command/router/endpoint_call.h"
 
+#include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,7 +14,10 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::uint32_t kMaxHeadSize = 32768;
+constexpr std::size_t kReadSize = 16384;
+/// Room for the bytes of a body that arrive with its head.
+constexpr std::size_t kReadAhead = 65536;
+
 /// Wait for readable bytes with a timeout; shared with the handler, which may run after the wait
 /// has ended.
 struct ByteWait : RefCounted<ByteWait> {
@@ -27,11 +31,21 @@
 /// Lower status codes are interim answers (1xx), which precede the final one.
 constexpr int kFirstFinalStatus = 200;
 
+/// Whether the answer exceeded a limit of the parser or of the buffer.
+bool IsLimitError(const SocketError& error) {
+  return error == http::error::header_limit || error == http::error::body_limit ||
+         error == http::error::buffer_overflow;
+}
+
 }  // namespace
 
+EndpointCall::EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits)
+    : limits_(limits), stream_(executor), buffer_(limits.head.value() + kReadAhead) {}
+
 CallStatus EndpointCall::Classify(const SocketError& error) const {
   if (cancelled_) return CallStatus::kCancelled;
   if (error == beast::error::timeout) return CallStatus::kSilent;
+  if (IsLimitError(error)) return CallStatus::kTooLarge;
   return CallStatus::kBroken;
 }
 
@@ -73,7 +87,7 @@
 }
 
 asio::awaitable<CallStatus> EndpointCall::AwaitBytes(std::chrono::milliseconds timeout) {
-  if (buffer_.size() > 0) co_return CallStatus::kOk;
+  if (!needs_more_) co_return CallStatus::kOk;
   auto wait = MakeRef<ByteWait>(stream_.get_executor());
   wait->timer.expires_after(timeout);
   stream_.socket().async_wait(
@@ -94,9 +108,14 @@
   stream_.expires_after(timeout);
   CallHead head;
   SocketError error;
+  std::uint32_t heads = 0;
   do {
+    if (heads++ > limits_.interim_heads) {
+      head.status = CallStatus::kTooLarge;
+      co_return head;
+    }
     parser_.emplace();
-    parser_->header_limit(kMaxHeadSize);
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.head.value()));
     parser_->body_limit(boost::none);
     parser_->skip(head_only_);
     co_await http::async_read_header(stream_, buffer_, *parser_, CaptureError(error));
@@ -109,28 +128,53 @@
   for (const auto& field : parser_->get()) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
+  needs_more_ = buffer_.size() == 0 && !parser_->is_done();
   co_return head;
 }
 
-asio::awaitable<BodyChunk> EndpointCall::Read(std::chrono::milliseconds timeout) {
-  stream_.expires_after(timeout);
-  BodyChunk chunk;
-  while (!parser_->is_done()) {
+void EndpointCall::ParseBuffered(BodyChunk& chunk) {
+  SocketError error;
+  while (!parser_->is_done() && buffer_.size() > 0 && !error) {
     auto& body = parser_->get().body();
     body.data = read_buffer_.data();
     body.size = read_buffer_.size();
     body.more = true;
-    SocketError error;
-    co_await http::async_read_some(stream_, buffer_, *parser_, CaptureError(error));
+    buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::need_buffer) error = {};
     chunk.bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
-    if (error) {
-      chunk.status = Classify(error);
-      co_return chunk;
-    }
-    if (!chunk.bytes.empty()) co_return chunk;
   }
-  chunk.status = CallStatus::kEnd;
+  needs_more_ = true;
+  if (parser_->is_done()) {
+    chunk.status = CallStatus::kEnd;
+  } else if (error && error != http::error::need_more) {
+    chunk.status = Classify(error);
+  }
+}
+
+asio::awaitable<BodyChunk> EndpointCall::Read(std::chrono::milliseconds timeout) {
+  BodyChunk chunk;
+  if (!needs_more_) {
+    ParseBuffered(chunk);
+    co_return chunk;
+  }
+  const std::size_t room = buffer_.max_size() - buffer_.size();
+  if (room == 0) {
+    chunk.status = CallStatus::kTooLarge;
+    co_return chunk;
+  }
+  stream_.expires_after(timeout);
+  SocketError error;
+  const std::size_t size = co_await stream_.async_read_some(
+      buffer_.prepare(std::min(room, kReadSize)), CaptureError(error));
+  buffer_.commit(size);
+  ParseBuffered(chunk);
+  if (!error || chunk.status != CallStatus::kOk) co_return chunk;
+  if (error == asio::error::eof) {
+    // The end of the connection ends a body without framing.
+    error = {};
+    parser_->put_eof(error);
+  }
+  chunk.status = error ? Classify(error) : CallStatus::kEnd;
   co_return chunk;
 }
 
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "bamboodock/command/router/answer_limits.h"
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/routing/caller_request.h"
 #include "bamboodock/transport/async_socket.h"
@@ -24,6 +25,8 @@
   kBroken,
   /// Nothing arrived within the timeout.
   kSilent,
+  /// The answer exceeds one of `AnswerLimits`.
+  kTooLarge,
   /// `Cancel` was called.
   kCancelled,
 };
@@ -47,19 +50,19 @@
 /// another answer, nor be closed or unresponsive already.
 class EndpointCall : public RefCounted<EndpointCall> {
  public:
-  explicit EndpointCall(const asio::any_io_executor& executor) : stream_(executor) {}
+  EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits);
 
   /// Connects to the endpoint; returns `kUnreachable` on an error or timeout.
   asio::awaitable<CallStatus> Open(Address endpoint, std::chrono::milliseconds timeout);
   /// Starts sending the request and returns at once. The endpoint may answer before it has read the
   /// whole body.
   void Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added);
-  /// Waits until bytes of the answer can be read; returns `kSilent` on a timeout and keeps the
+  /// Waits until `Read` or `ReadHead` would not block; returns `kSilent` on a timeout and keeps the
   /// connection open.
   asio::awaitable<CallStatus> AwaitBytes(std::chrono::milliseconds timeout);
   /// Reads the head of the answer, skipping interim (1xx) ones; a timeout closes the connection.
   asio::awaitable<CallHead> ReadHead(std::chrono::milliseconds timeout);
-  /// Reads the available bytes of the body: at least one unless the body has ended or failed.
+  /// Reads the available bytes of the body. They may be none if only framing has arrived.
   asio::awaitable<BodyChunk> Read(std::chrono::milliseconds timeout);
   /// Closes the connection, on which the endpoint aborts the request.
   void Cancel();
@@ -68,15 +71,22 @@
   using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   CallStatus Classify(const SocketError& error) const;
+  /// Parses the bytes received and adds those of the body to `chunk`.
+  void ParseBuffered(BodyChunk& chunk);
   /// Sends the request. Holds a reference to the call, since the write may outlive the wait for the
   /// answer.
   static asio::awaitable<void> Write(Ref<EndpointCall> self, Ref<const CallerRequest> request,
                                      std::vector<HttpHeader> added);
 
+  AnswerLimits limits_;
   beast::tcp_stream stream_;
+  /// Also holds the framing of a chunk, which an endpoint may extend without end.
   beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
   std::array<char, 8192> read_buffer_{};
+  /// Whether the parser has used all that it can of the bytes received. Some may be left in the
+  /// buffer, such as the line end of a chunk.
+  bool needs_more_ = true;
   bool cancelled_ = false;
   /// Whether the request method is HEAD, so that the answer has no body.
   bool head_only_ = false;
--- a/src/bamboodock/command/router/network_services.h
+++ b/src/bamboodock/command/router/network_services.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 
+#include "bamboodock/command/router/answer_limits.h"
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_counters.h"
 #include "bamboodock/core/clock.h"
@@ -19,6 +20,7 @@
   EventLog& log;
   RouterCounters& counters;
   ModelEscalation escalation;
+  AnswerLimits answer_limits;
   /// Posts a command to the planning duty; false when its ring is full.
   std::function<bool(RouteCommand)> post;
   /// Returns the latest status; never null.
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds kPlanTimeout{1500};
 /// A request is refused after more attempts than this that did not run.
 constexpr std::uint32_t kMaxNotRun = 4;
-/// Largest answer in bytes that is buffered before it is forwarded.
-constexpr std::size_t kMaxBufferedAnswer = 16U << 20U;
 constexpr std::chrono::milliseconds kRetryAfterFailure{250};
 /// Delay after which another entry can take a request that this one ends because it stops.
 constexpr std::chrono::milliseconds kRetryAfterStop{100};
@@ -208,6 +206,10 @@
   }
 }
 
+void RequestExchange::CountOverLimit(CallStatus status) {
+  if (status == CallStatus::kTooLarge) ++services_.counters.answers_over_limit;
+}
+
 void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
   head_latency_.reset();
   sent_ = false;
@@ -272,7 +274,7 @@
     co_return Action::Finished(reusable);
   }
   ++services_.counters.attempts;
-  call_ = MakeRef<EndpointCall>(executor_);
+  call_ = MakeRef<EndpointCall>(executor_, services_.answer_limits);
   const auto connect_wait = AtLeastOneMs(std::min<Duration>(TimeLeft(), timeouts_.connect));
   const CallStatus opened = co_await call_->Open(plan.address, connect_wait);
   if (opened != CallStatus::kOk) {
@@ -309,8 +311,8 @@
   if (waited != CallStatus::kOk) {
     co_return co_await OnNoHead(plan, waited);
   }
-  const auto left = AtLeastOneMs(TimeLeft());
-  const CallHead head = co_await call_->ReadHead(left);
+  const auto head_wait = AtLeastOneMs(HeadRestTimeout(timeouts_, TimeLeft(), !CanRetry()));
+  const CallHead head = co_await call_->ReadHead(head_wait);
   if (head.status != CallStatus::kOk) {
     co_return co_await OnNoHead(plan, head.status);
   }
@@ -318,8 +320,11 @@
 }
 
 asio::awaitable<CallStatus> RequestExchange::AwaitBytes(Duration soft_timeout) {
-  const auto first_wait = AtLeastOneMs(soft_timeout);
-  const CallStatus first = co_await call_->AwaitBytes(first_wait);
+  CallStatus first = CallStatus::kSilent;
+  if (soft_timeout > Duration::zero()) {
+    const auto first_wait = AtLeastOneMs(soft_timeout);
+    first = co_await call_->AwaitBytes(first_wait);
+  }
   if (first != CallStatus::kSilent || TimeLeft() <= Duration::zero()) co_return first;
   if (CanRetry()) {
     const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
@@ -343,7 +348,9 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::OnNoHead(const AttemptPlan& plan,
                                                                    CallStatus status) {
   call_->Cancel();
-  Report(plan, OutcomeOf(status), "no answer head");
+  CountOverLimit(status);
+  Report(plan, OutcomeOf(status),
+         status == CallStatus::kTooLarge ? "answer head over the size limit" : "no answer head");
   const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
   const ResultCode code =
       status == CallStatus::kSilent ? ResultCode::kConnectionSilent : ResultCode::kOutcomeUnknown;
@@ -390,7 +397,7 @@
     body += chunk.bytes;
     if (chunk.status == CallStatus::kEnd) co_return CallStatus::kOk;
     if (chunk.status != CallStatus::kOk) co_return chunk.status;
-    if (body.size() > kMaxBufferedAnswer) co_return CallStatus::kBroken;
+    if (body.size() > services_.answer_limits.body.value()) co_return CallStatus::kTooLarge;
   }
 }
 
@@ -399,6 +406,7 @@
   std::string body;
   const CallStatus status = co_await ReadFullBody(body);
   call_->Cancel();
+  CountOverLimit(status);
   const bool server_error = head.status >= 500;
   Report(plan, server_error ? AttemptOutcome::kFailure : AttemptOutcome::kSuccess,
          fmt::format("status {}", head.status));
@@ -422,8 +430,9 @@
   std::string body;
   const CallStatus status = co_await ReadFullBody(body);
   call_->Cancel();
+  CountOverLimit(status);
   if (status != CallStatus::kOk) {
-    Report(plan, OutcomeOf(status), "answer body incomplete or larger than 16 MiB");
+    Report(plan, OutcomeOf(status), "answer body incomplete or over the size limit");
     co_return co_await RetryOrFail(PlanReason::kFailed, ResultCode::kAnswerIncomplete);
   }
   Report(plan, AttemptOutcome::kSuccess, fmt::format("status {}", head.status));
@@ -468,17 +477,24 @@
 
 asio::awaitable<CallStatus> RequestExchange::RelayEvents() {
   events_.DropPartial();
+  // Bytes that complete no event do not count as progress: a stalled endpoint may send some now and
+  // then.
+  MonotonicTime idle_since = services_.clock.Now();
   while (true) {
     const Duration left = TimeLeft();
     if (left <= Duration::zero()) co_return CallStatus::kSilent;
-    const Duration soft_timeout = StreamIdleTimeout(timeouts_, *progress_.route, left, !CanRetry());
-    const CallStatus waited = co_await AwaitBytes(soft_timeout);
+    const Duration idle_timeout = StreamIdleTimeout(timeouts_, *progress_.route, left, !CanRetry());
+    const Duration idle = services_.clock.Now() - idle_since;
+    const CallStatus waited = co_await AwaitBytes(idle_timeout - idle);
     if (waited != CallStatus::kOk) co_return waited;
+    if (idle >= idle_timeout) idle_since = services_.clock.Now();
     const auto wait = AtLeastOneMs(TimeLeft());
     const BodyChunk chunk = co_await call_->Read(wait);
     events_.Append(chunk.bytes);
     const std::uint64_t before = events_.taken();
     std::string events = events_.Take();
+    if (events_.partial_size() > services_.answer_limits.event) co_return CallStatus::kTooLarge;
+    if (!events.empty()) idle_since = services_.clock.Now();
     event_interval_.Add(events_.taken() - before, services_.clock.Now());
     bool sent = true;
     if (!events.empty()) {
@@ -504,6 +520,7 @@
     co_return Action::Finished(sent && writer_.keep_alive());
   }
   ++services_.counters.resumes;
+  CountOverLimit(status);
   if (planned_) co_return SwitchToPlanned(plan, "no stream event within the soft timeout");
   Report(plan, caller_closed_ ? AttemptOutcome::kCancelled : OutcomeOf(status),
          "stream ended before it was complete");
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -60,9 +60,9 @@
   asio::awaitable<Action> OnFailureAnswer(const AttemptPlan& plan, AnswerHead head);
   asio::awaitable<Action> RelayBuffered(const AttemptPlan& plan, AnswerHead head);
   asio::awaitable<Action> RelayStream(const AttemptPlan& plan, AnswerHead head);
-  /// Waits for bytes. If none arrive within `soft_timeout`, requests a plan for a retry, if one is
-  /// allowed. The attempt in progress is abandoned only when there is such a plan, which is stored
-  /// in `planned_`.
+  /// Waits for bytes. If none arrive within `soft_timeout`, or if it has passed already, requests a
+  /// plan for a retry, if one is allowed. The attempt in progress is abandoned only when there is
+  /// such a plan, which is stored in `planned_`.
   asio::awaitable<CallStatus> AwaitBytes(Duration soft_timeout);
   /// Cancels the attempt and continues with the one in `planned_`.
   Action SwitchToPlanned(const AttemptPlan& plan, std::string_view detail);
@@ -72,7 +72,7 @@
                                                               const AnswerHead& head);
   asio::awaitable<CallStatus> RelayEvents();
   asio::awaitable<Action> EndStream(const AttemptPlan& plan, CallStatus status);
-  /// Reads the rest of the body into memory, up to 16 MiB.
+  /// Reads the rest of the body into memory, up to its size limit.
   asio::awaitable<CallStatus> ReadFullBody(std::string& body);
   asio::awaitable<Action> RetryOrFail(PlanReason reason, ResultCode code);
   asio::awaitable<bool> Refuse(Failure failure);
@@ -86,6 +86,8 @@
   Duration TimeLeft() const;
   bool IsStreamRoute() const;
   void SetDeadline(const Route& route);
+  /// Counts an answer that was given up because of its size.
+  void CountOverLimit(CallStatus status);
   /// Reports an attempt that was planned and will not be sent.
   void ReleaseUnsent(const AttemptPlan& plan);
   void Report(const AttemptPlan& plan, AttemptOutcome outcome, std::string_view detail);
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -19,6 +19,7 @@
   std::atomic<std::uint64_t> attempts{0};
   std::atomic<std::uint64_t> repeats{0};
   std::atomic<std::uint64_t> resumes{0};
+  std::atomic<std::uint64_t> answers_over_limit{0};
   std::atomic<std::uint64_t> open_connections{0};
   std::atomic<std::uint64_t> open_requests{0};
 
--- a/src/bamboodock/command/router/router_process.h
+++ b/src/bamboodock/command/router/router_process.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 
+#include "bamboodock/command/router/answer_limits.h"
 #include "bamboodock/command/router/router_limits.h"
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/result.h"
@@ -25,6 +26,7 @@
   std::optional<Address> metrics;
   Address store;
   RouterLimits limits;
+  AnswerLimits answer_limits;
   /// Time limit of `Stop`.
   Duration grace = std::chrono::seconds(8);
 };
--- a/src/bamboodock/policy/attempt_timeouts.h
+++ b/src/bamboodock/policy/attempt_timeouts.h
@@ -19,6 +19,8 @@
   double stream_factor = 1.5;
   /// The same for an endpoint that has recently failed or sent nothing.
   double suspect_stream_factor = 0.5;
+  /// Time for the rest of an answer head whose first bytes have arrived.
+  std::chrono::milliseconds head_rest{1000};
   /// Multiple of the interval objective after which a stream without events is resumed at another
   /// endpoint.
   double idle_factor = 0.8;
@@ -53,6 +55,11 @@
   return std::min(left, std::chrono::duration_cast<Duration>(wait));
 }
 
+/// Timeout for the rest of an answer head; the parameters are those of `HeadTimeout`.
+inline Duration HeadRestTimeout(const AttemptTimeouts& timeouts, Duration left, bool last) {
+  return last ? left : std::min<Duration>(left, timeouts.head_rest);
+}
+
 /// Timeout between two events of a stream; the parameters are those of `HeadTimeout`.
 inline Duration StreamIdleTimeout(const AttemptTimeouts& timeouts, const Route& route,
                                   Duration left, bool last) {
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -25,6 +25,8 @@
     CounterRow{"bamboodock_attempts_total", "counter", &RouterCounters::attempts},
     CounterRow{"bamboodock_repeats_total", "counter", &RouterCounters::repeats},
     CounterRow{"bamboodock_resumes_total", "counter", &RouterCounters::resumes},
+    CounterRow{"bamboodock_answers_over_limit_total", "counter",
+               &RouterCounters::answers_over_limit},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
 };
--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -69,6 +69,7 @@
   ~TestRouter() { network_.Stop(); }
 
   NetworkDuty& network() { return network_; }
+  const RouterCounters& counters() const { return counters_; }
   void Plan(const Address& endpoint) { endpoints_.push_back(endpoint); }
   std::vector<PlanReason> reasons;
 
@@ -93,6 +94,7 @@
             log_,
             counters_,
             ModelEscalation({60}),
+            AnswerLimits(),
             [this](RouteCommand command) { return Receive(std::move(command)); },
             [] { return Ref<const RouterStatus>(MakeRef<RouterStatus>()); }};
   }
@@ -172,6 +174,14 @@
   CPPUNIT_TEST(LowConfidenceEscalatesToLargerModel);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
   CPPUNIT_TEST(AmbiguousFramingIsRefused);
+  CPPUNIT_TEST(EndlessHeadIsGivenUp);
+  CPPUNIT_TEST(EndlessInterimHeadsAreGivenUp);
+  CPPUNIT_TEST(EndlessBodyIsGivenUp);
+  CPPUNIT_TEST(EndlessChunkExtensionIsGivenUp);
+  CPPUNIT_TEST(EndlessEventIsGivenUp);
+  CPPUNIT_TEST(TricklingStreamIsResumedElsewhere);
+  CPPUNIT_TEST(TricklingHeadIsRetriedElsewhere);
+  CPPUNIT_TEST(SlowStreamIsNotCut);
   CPPUNIT_TEST(AbortRefusesOpenRequests);
   CPPUNIT_TEST(AbortTruncatesOpenStreams);
   CPPUNIT_TEST_SUITE_END();
@@ -374,6 +384,78 @@
     CPPUNIT_ASSERT(endpoint.requests().empty());
   }
 
+  // Guards against memory that grows while an endpoint sends a head without end.
+  void EndlessHeadIsGivenUp() {
+    AssertEndlessAnswerIsGivenUp(RouteKind::kSafe, "HTTP/1.1 200 OK\r\n", "X-More: abcdefgh\r\n");
+  }
+
+  // Guards against a request that is held while an endpoint sends interim heads without end.
+  void EndlessInterimHeadsAreGivenUp() {
+    AssertEndlessAnswerIsGivenUp(RouteKind::kSafe, "", "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+
+  // Guards against memory that grows while an endpoint sends a body without framing and without
+  // end.
+  void EndlessBodyIsGivenUp() {
+    AssertEndlessAnswerIsGivenUp(RouteKind::kSafe,
+                                 "HTTP/1.1 200 OK\r\n" + std::string(kAnswerHeaders) + "\r\n",
+                                 std::string(4096, 'x'));
+  }
+
+  // Guards against memory that grows while an endpoint extends a chunk's header without end.
+  void EndlessChunkExtensionIsGivenUp() {
+    AssertEndlessAnswerIsGivenUp(RouteKind::kStream, StreamHead(90) + "1;", std::string(64, 'x'));
+  }
+
+  // Guards against memory that grows while an endpoint sends an event without end.
+  void EndlessEventIsGivenUp() {
+    AssertEndlessAnswerIsGivenUp(RouteKind::kStream, StreamHead(90), Chunk(std::string(4096, 'x')));
+  }
+
+  // Guards against a stalled stream that never ends because it sends a byte now and then.
+  void TricklingStreamIsResumedElsewhere() {
+    ScriptedServer stalled([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kTrickle, Chunk(":")};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(2)) + "0\r\n\r\n", ConnectionAction::kClose};
+    });
+    TestRouter router(MakeFastRoute(RouteKind::kStream));
+    router.Plan(stalled.address());
+    router.Plan(sound.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, StreamEvent(1)) && Contains(answer, StreamEvent(2)));
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+  }
+
+  // Guards against a request that is held until its deadline by a head that never ends.
+  void TricklingHeadIsRetriedElsewhere() {
+    ScriptedServer stalled([](const auto&, std::size_t) {
+      return Answer{"HTTP/1.1 200 OK\r\nX-Slow: ", ConnectionAction::kTrickle, "a"};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{FullAnswer("200 OK", kAnswerHeaders, "done"), ConnectionAction::kClose};
+    });
+    TestRouter router(MakeFastRoute(RouteKind::kSafe));
+    router.Plan(stalled.address());
+    router.Plan(sound.address());
+    CPPUNIT_ASSERT(router.Exchange(Post()).ends_with("done"));
+  }
+
+  // Guards against a sound stream that is cut because its events come slowly and no other endpoint
+  // can take it over.
+  void SlowStreamIsNotCut() {
+    ScriptedServer slow([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kFinishLater,
+                    Chunk(StreamEvent(2)) + "0\r\n\r\n"};
+    });
+    TestRouter router(MakeFastRoute(RouteKind::kStream));
+    router.Plan(slow.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, StreamEvent(2)) && answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(router.reasons.back() == PlanReason::kResume);
+  }
+
   // Guards against a process that ends without a word to the callers whose requests are open, and
   // against a promise that an unsafe request has not run.
   void AbortRefusesOpenRequests() {
@@ -414,6 +496,40 @@
     CPPUNIT_ASSERT(router.network().AwaitIdle(std::chrono::seconds(10)));
     CPPUNIT_ASSERT(!(received + ReadToEnd(caller)).ends_with("0\r\n\r\n"));
   }
+
+ private:
+  /// Route whose intervals and timeouts let a stall show within a fraction of a second.
+  static Route MakeFastRoute(RouteKind kind) {
+    Route route = MakeRoute(kind, true);
+    route.timeout = std::chrono::seconds(60);
+    route.interval_objective = std::chrono::milliseconds(200);
+    return route;
+  }
+
+  /// An endpoint sends `begin` and then `part` until its peer closes the connection; another one
+  /// answers.
+  static void AssertEndlessAnswerIsGivenUp(RouteKind kind, const std::string& begin,
+                                           const std::string& part) {
+    ScriptedServer endless([&](const auto&, std::size_t) {
+      return Answer{begin, ConnectionAction::kSendEndlessly, part};
+    });
+    ScriptedServer sound([&](const auto&, std::size_t) {
+      const std::string stream = StreamHead(90) + Chunk(StreamEvent(1)) + "0\r\n\r\n";
+      return Answer{
+          kind == RouteKind::kStream ? stream : FullAnswer("200 OK", kAnswerHeaders, "done"),
+          ConnectionAction::kClose};
+    });
+    Route route = MakeRoute(kind, true);
+    // Ends the request only if the endless answer is not given up.
+    route.timeout = std::chrono::seconds(60);
+    TestRouter router(route);
+    router.Plan(endless.address());
+    router.Plan(sound.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 200),
+                           Contains(answer, kind == RouteKind::kStream ? "id: 1" : "done"));
+    CPPUNIT_ASSERT(router.counters().answers_over_limit == 1);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NetworkDutyTest);
--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -25,10 +25,22 @@
  public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
   /// What the server does with the connection after the bytes of an answer.
-  enum class ConnectionAction { kKeep, kClose, kReset, kWaitForPeer };
+  enum class ConnectionAction {
+    kKeep,
+    kClose,
+    kReset,
+    kWaitForPeer,
+    /// Sends `Answer::more` again and again without a pause until the peer closes the connection.
+    kSendEndlessly,
+    /// The same with a pause after each part.
+    kTrickle,
+    /// Sends `Answer::more` once, after a second, and closes the connection.
+    kFinishLater,
+  };
   struct Answer {
     std::string bytes;
     ConnectionAction action = ConnectionAction::kClose;
+    std::string more = {};
   };
   using Script = std::function<Answer(const Request& request, std::size_t number)>;
 
@@ -91,6 +103,7 @@
       boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
       if (answer.action == ConnectionAction::kKeep) continue;
       if (answer.action == ConnectionAction::kWaitForPeer) WaitForPeer(socket);
+      SendMore(socket, answer);
       if (answer.action == ConnectionAction::kReset) {
         socket.set_option(boost::asio::socket_base::linger(true, 0), error);
       } else {
@@ -100,6 +113,22 @@
     }
   }
 
+  void SendMore(Socket& socket, const Answer& answer) {
+    constexpr std::chrono::milliseconds kTricklePause{20};
+    constexpr std::chrono::seconds kFinishDelay{1};
+    boost::system::error_code error;
+    if (answer.action == ConnectionAction::kFinishLater) {
+      std::this_thread::sleep_for(kFinishDelay);
+      boost::asio::write(socket, boost::asio::buffer(answer.more), error);
+    }
+    const bool trickles = answer.action == ConnectionAction::kTrickle;
+    if (!trickles && answer.action != ConnectionAction::kSendEndlessly) return;
+    while (!error && !stopping_) {
+      boost::asio::write(socket, boost::asio::buffer(answer.more), error);
+      if (trickles) std::this_thread::sleep_for(kTricklePause);
+    }
+  }
+
   void WaitForPeer(Socket& socket) {
     char byte = 0;
     boost::system::error_code error;
