Resume a stalled stream when it is late anyway

Close to its deadline a request asked for a replacement that it could not use.

Change: a stream is resumed after 1.5 times its interval objective and ten times its own mean interval, and only with enough time left to connect.

--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -326,7 +326,7 @@
     first = co_await call_->AwaitBytes(first_wait);
   }
   if (first != CallStatus::kSilent || TimeLeft() <= Duration::zero()) co_return first;
-  if (CanRetry()) {
+  if (CanRetry() && TimeLeft() >= timeouts_.connect) {
     const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
     PlanAnswer answer = co_await RequestPlan(reason, progress_.model);
     planned_ = std::move(answer.plan);
@@ -483,7 +483,8 @@
   while (true) {
     const Duration left = TimeLeft();
     if (left <= Duration::zero()) co_return CallStatus::kSilent;
-    const Duration idle_timeout = StreamIdleTimeout(timeouts_, *progress_.route, left, !CanRetry());
+    const Duration idle_timeout = StreamIdleTimeout(timeouts_, *progress_.route,
+                                                    event_interval_.Interval(), left, !CanRetry());
     const Duration idle = services_.clock.Now() - idle_since;
     const CallStatus waited = co_await AwaitBytes(idle_timeout - idle);
     if (waited != CallStatus::kOk) co_return waited;
--- a/src/bamboodock/policy/attempt_timeouts.h
+++ b/src/bamboodock/policy/attempt_timeouts.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 
 #include "bamboodock/routing/route.h"
 
@@ -22,8 +24,11 @@
   /// Time for the rest of an answer head whose first bytes have arrived.
   std::chrono::milliseconds head_rest{1000};
   /// Multiple of the interval objective after which a stream without events is resumed at another
-  /// endpoint.
-  double idle_factor = 0.8;
+  /// endpoint. The answer is late by then, and the new endpoint reads the prompt again, so a stream
+  /// that is only slow is better waited for.
+  double idle_factor = 1.5;
+  /// Multiple of the stream's own mean interval that a pause must exceed as well.
+  double idle_interval_factor = 10;
   /// Multiple of the latency objective for which a request that cannot be planned yet waits for
   /// the missing configuration or endpoint.
   double plan_factor = 0.12;
@@ -60,13 +65,21 @@
   return last ? left : std::min<Duration>(left, timeouts.head_rest);
 }
 
-/// Timeout between two events of a stream; the parameters are those of `HeadTimeout`.
+/// Timeout between two events of a stream.
+///
+/// Load pattern: engines that pause for long while they read prompts, beside some that have
+/// stopped.
+///
+/// @param interval Mean interval between the events of the stream so far, if it is known.
+/// The other parameters are those of `HeadTimeout`.
 inline Duration StreamIdleTimeout(const AttemptTimeouts& timeouts, const Route& route,
-                                  Duration left, bool last) {
+                                  std::optional<Duration> interval, Duration left, bool last) {
   if (last || !route.IsIdempotent() || route.interval_objective <= Duration::zero()) return left;
-  const std::chrono::duration<double> wait(timeouts.idle_factor *
-                                           std::chrono::duration<double>(route.interval_objective));
-  return std::min(left, std::chrono::duration_cast<Duration>(wait));
+  using Seconds = std::chrono::duration<double>;
+  const Seconds by_objective = timeouts.idle_factor * Seconds(route.interval_objective);
+  const Seconds by_interval =
+      timeouts.idle_interval_factor * Seconds(interval.value_or(Duration::zero()));
+  return std::min(left, std::chrono::duration_cast<Duration>(std::max(by_objective, by_interval)));
 }
 
 }  // namespace bamboodock
