Share the loads that endpoints state and compare a few endpoints

Cause: with 33 entries and 60 engines an engine states its load to one entry about once in ten seconds, and the entry forgets it with a half-life of 1.5 s.

Change: a report holds the loads that endpoints stated to the entry in the last 0.6 s, at most 16. The latest load of an endpoint counts, from whichever entry. Two endpoints in the own zone and two elsewhere are compared instead of all, since all entries know the same loads.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -56,8 +56,16 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending,
-                     Json::array({report.orders.digest, report.orders.until.count()})};
+  Json loads = Json::array();
+  for (const ObservedLoad& load : report.loads) {
+    loads.push_back(Json::array({load.endpoint.value(), load.open, load.age.count()}));
+  }
+  const Json message{report.host.value(),
+                     report.incarnation.value(),
+                     rollouts,
+                     pending,
+                     Json::array({report.orders.digest, report.orders.until.count()}),
+                     loads};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
@@ -77,6 +85,13 @@
     if (message.size() <= 4) return report;
     report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
     report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
+    // Entries of the previous release send no loads.
+    if (message.size() <= 5) return report;
+    for (const Json& load : message.at(5)) {
+      report.loads.push_back({EndpointId(load.at(0).get<std::string>()),
+                              load.at(1).get<std::uint32_t>(),
+                              std::chrono::milliseconds(load.at(2).get<std::int64_t>())});
+    }
     return report;
   } catch (const Json::exception&) {
     // No failure is raised, since any host can send a datagram; the caller logs it.
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -16,8 +16,13 @@
 constexpr std::chrono::milliseconds kOutlierBackoff{2500};
 /// Registrations reach the store with a delay, so an endpoint counts as cold for this much longer.
 constexpr std::chrono::milliseconds kRegistrationLag{1200};
-/// Half-life of a load report, since requests of other entries end after it was made.
-constexpr std::chrono::duration<double> kReportHalfLife{1.5};
+/// Half-life of a stated load, since requests of other entries end after it was made.
+constexpr std::chrono::duration<double> kStatedLoadHalfLife{1.5};
+/// Stated loads up to this age are reported. Each other entry gets one of a few reports.
+constexpr std::chrono::milliseconds kMaxReportedLoadAge{600};
+/// Endpoints that are compared in the own zone, and as many elsewhere. Entries know the same loads,
+/// so they would all choose the same endpoint if they compared all.
+constexpr std::size_t kComparedPerSide = 2;
 /// A report of pending work expires after this time; reports arrive more often than that.
 constexpr std::chrono::milliseconds kPendingLifetime{1000};
 /// Pending prompt tokens, at the price of the most expensive model, that count as one open request.
@@ -121,8 +126,8 @@
 }
 
 double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
-  const std::chrono::duration<double> age = now - endpoint.load_reported_at;
-  return endpoint.in_flight + endpoint.in_flight_elsewhere * std::exp2(-age / kReportHalfLife) +
+  const std::chrono::duration<double> age = now - endpoint.load_stated_at;
+  return endpoint.in_flight + endpoint.in_flight_elsewhere * std::exp2(-age / kStatedLoadHalfLife) +
          TotalPending(endpoint, now) / kTokensPerPendingRequest;
 }
 
@@ -200,10 +205,27 @@
   if (requirements.affinity != 0) {
     if (PooledEndpoint* endpoint = ChooseByAffinity(candidates, requirements, now)) return endpoint;
   }
+  return ChooseByLoad(candidates, random, now);
+}
+
+PooledEndpoint* EndpointPool::ChooseByLoad(std::vector<PooledEndpoint*>& candidates, Random& random,
+                                           MonotonicTime now) const {
   std::shuffle(candidates.begin(), candidates.end(), random);
-  return *std::min_element(
-      candidates.begin(), candidates.end(),
-      [&](PooledEndpoint* a, PooledEndpoint* b) { return Score(*a, now) < Score(*b, now); });
+  std::size_t compared_local = 0;
+  std::size_t compared_remote = 0;
+  PooledEndpoint* best = nullptr;
+  double best_score = 0;
+  for (PooledEndpoint* endpoint : candidates) {
+    const bool local = endpoint->record.availability_zone == local_zone_;
+    std::size_t& compared = local ? compared_local : compared_remote;
+    if (compared == kComparedPerSide) continue;
+    ++compared;
+    const double score = Score(*endpoint, now);
+    if (best != nullptr && score >= best_score) continue;
+    best = endpoint;
+    best_score = score;
+  }
+  return best;
 }
 
 void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now) {
@@ -221,9 +243,39 @@
 void EndpointPool::UpdateLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
                               MonotonicTime now) {
   if (!load) return;
-  const double total = load->running.value() + load->waiting.value();
-  endpoint.in_flight_elsewhere = std::max(0.0, total - endpoint.in_flight);
-  endpoint.load_reported_at = now;
+  const std::uint32_t open = load->running.value() + load->waiting.value();
+  endpoint.in_flight_elsewhere = std::max(0.0, static_cast<double>(open) - endpoint.in_flight);
+  endpoint.load_stated_at = now;
+  endpoint.own_observation = open;
+  endpoint.own_observation_at = now;
+}
+
+void EndpointPool::UpdateLoads(const std::vector<ObservedLoad>& loads, MonotonicTime now) {
+  for (const ObservedLoad& load : loads) {
+    const auto found = endpoints_.find(load.endpoint);
+    if (found == endpoints_.end()) continue;
+    PooledEndpoint& endpoint = found->second;
+    const MonotonicTime stated_at = now - load.age;
+    if (stated_at <= endpoint.load_stated_at) continue;
+    endpoint.in_flight_elsewhere =
+        std::max(0.0, static_cast<double>(load.open) - endpoint.in_flight);
+    endpoint.load_stated_at = stated_at;
+  }
+}
+
+std::vector<ObservedLoad> EndpointPool::RecentLoads(std::size_t max_count,
+                                                    MonotonicTime now) const {
+  std::vector<ObservedLoad> loads;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const Duration age = now - endpoint.own_observation_at;
+    if (age > kMaxReportedLoadAge) continue;
+    loads.push_back(
+        {id, endpoint.own_observation, std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+  }
+  std::sort(loads.begin(), loads.end(),
+            [](const ObservedLoad& a, const ObservedLoad& b) { return a.age < b.age; });
+  if (loads.size() > max_count) loads.resize(max_count);
+  return loads;
 }
 
 void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -29,9 +29,13 @@
   std::uint64_t pending_work = 0;
   /// Pending work of the other entries with the time of their last report.
   std::map<IncarnationId, std::pair<std::uint64_t, MonotonicTime>> pending_elsewhere;
-  /// Open attempts of the other entries by the endpoint's last load report, and when it arrived.
+  /// Open attempts of the other entries by the latest load that the endpoint stated to any entry,
+  /// and when it did.
   double in_flight_elsewhere = 0;
-  MonotonicTime load_reported_at{};
+  MonotonicTime load_stated_at{};
+  /// Load that the endpoint stated to this entry, and when; for reports to the other entries.
+  std::uint32_t own_observation = 0;
+  MonotonicTime own_observation_at{};
   /// The request rate is limited until then, as the endpoint may have cold caches.
   MonotonicTime cold_until{};
   /// Chosen until then only if no other endpoint is usable, after a connect error or frequent
@@ -97,6 +101,10 @@
                      MonotonicTime now);
   /// Pending work of this entry, largest first, for at most `max_count` endpoints.
   std::vector<PendingWork> LargestPending(std::size_t max_count) const;
+  /// Takes over the loads that endpoints stated to another entry, where they are newer.
+  void UpdateLoads(const std::vector<ObservedLoad>& loads, MonotonicTime now);
+  /// Loads that endpoints lately stated to this entry, latest first, at most `max_count`.
+  std::vector<ObservedLoad> RecentLoads(std::size_t max_count, MonotonicTime now) const;
   /// Mean pending work of all entries per endpoint of the service, without draining ones.
   double MeanPending(const ServiceId& service, MonotonicTime now) const;
 
@@ -132,6 +140,9 @@
   PooledEndpoint* FindCurrent(const EndpointId& id, StartTime started);
   static void UpdateLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
                          MonotonicTime now);
+  /// Best of a few endpoints taken at random in the own zone and elsewhere.
+  PooledEndpoint* ChooseByLoad(std::vector<PooledEndpoint*>& candidates, Random& random,
+                               MonotonicTime now) const;
   void BackOffOutlier(PooledEndpoint& endpoint, MonotonicTime now);
   void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report, bool updates_baseline);
 
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -32,6 +32,9 @@
 /// Limit of endpoints with pending work in a report, so that it fits into one datagram.
 constexpr std::size_t kMaxPendingEndpoints = 24;
 
+/// Limit of endpoints whose stated load is in a report, the latest first.
+constexpr std::size_t kMaxReportedLoads = 16;
+
 /// A version without a rollout order is used only after this delay, since its order may arrive
 /// later than its registrations.
 constexpr std::chrono::milliseconds kVersionWithoutOrderDelay{4000};
@@ -451,6 +454,7 @@
   }
   ExtendCoverage(report.orders);
   pool_.UpdatePending(report.incarnation, report.pending, clock_.Now());
+  pool_.UpdateLoads(report.loads, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_timeout;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
@@ -480,8 +484,12 @@
 }
 
 PeerReport RouteState::MakeReport() const {
-  PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
-                    pool_.LargestPending(kMaxPendingEndpoints), orders_};
+  PeerReport report{identity_.host,
+                    identity_.incarnation,
+                    rollouts_.Evidence(),
+                    pool_.LargestPending(kMaxPendingEndpoints),
+                    orders_,
+                    pool_.RecentLoads(kMaxReportedLoads, clock_.Now())};
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -36,6 +36,15 @@
   Tokens work;
 };
 
+/// Load that an endpoint stated in an answer to an entry.
+struct ObservedLoad {
+  EndpointId endpoint;
+  /// Requests running and waiting at the endpoint, of all entries.
+  std::uint32_t open = 0;
+  /// Time since the answer arrived, when the report was made.
+  std::chrono::milliseconds age{0};
+};
+
 /// State of the operator's table at one time, as read by an entry. Invalid while `until` is zero.
 ///
 /// An entry with the same rows learns from it that they are still current, without reading the
@@ -54,6 +63,7 @@
   std::vector<RolloutEvidence> rollouts;
   std::vector<PendingWork> pending;
   OperatorTableState orders;
+  std::vector<ObservedLoad> loads;
 };
 
 }  // namespace bamboodock
