--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -61,7 +61,7 @@
   // Fractions of the last phase: traffic moves during the first one, at its start; the second one,
   // at its end, is a reserve within the time limit; the old version drains in between.
   constexpr double kMovingFraction = 0.15;
-  constexpr double kReservedFraction = 0.35;
+  constexpr double kReservedFraction = 0.5;
   // Minimum and maximum length of the last phase. The minimum leaves time to complete the rollout
   // under a low limit.
   constexpr double kMinLastPhase = 0.06;
