--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -56,16 +56,17 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  Json loads = Json::array();
-  for (const ObservedLoad& load : report.loads) {
-    loads.push_back(Json::array({load.endpoint.value(), load.open, load.age.count()}));
+  Json observations = Json::array();
+  for (const EndpointObservation& seen : report.observations) {
+    observations.push_back(
+        Json::array({seen.endpoint.value(), seen.open, seen.age.count(), seen.good, seen.bad}));
   }
   const Json message{report.host.value(),
                      report.incarnation.value(),
                      rollouts,
                      pending,
                      Json::array({report.orders.digest, report.orders.until.count()}),
-                     loads};
+                     observations};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
@@ -85,12 +86,13 @@
     if (message.size() <= 4) return report;
     report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
     report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
-    // Entries of the previous release send no loads.
+    // Entries of the previous release send no observations.
     if (message.size() <= 5) return report;
-    for (const Json& load : message.at(5)) {
-      report.loads.push_back({EndpointId(load.at(0).get<std::string>()),
-                              load.at(1).get<std::uint32_t>(),
-                              std::chrono::milliseconds(load.at(2).get<std::int64_t>())});
+    for (const Json& seen : message.at(5)) {
+      report.observations.push_back(
+          {EndpointId(seen.at(0).get<std::string>()), seen.at(1).get<std::uint32_t>(),
+           std::chrono::milliseconds(seen.at(2).get<std::int64_t>()),
+           seen.at(3).get<std::uint32_t>(), seen.at(4).get<std::uint32_t>()});
     }
     return report;
   } catch (const Json::exception&) {
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -34,6 +34,14 @@
 constexpr double kTokensPerExtraRequest = 1500;
 /// Added to the score of an endpoint in another zone, in requests per slot.
 constexpr double kCrossZonePenalty = 0.08;
+/// Answers that are assumed to be good besides those that were counted, so that a single failure
+/// says little.
+constexpr double kAssumedGoodAnswers = 3;
+/// Load in multiples of that of an answer which a failed one stands for: its repeat comes late and
+/// uses the repeat budget.
+constexpr double kFailureWeight = 3;
+/// Share of failures from which an endpoint is not chosen for its cache.
+constexpr double kMaxAffinityFailures = 0.2;
 /// Weighted failures before an endpoint is compared with the others.
 constexpr double kMinFailureWeight = 2.4;
 /// An endpoint backs off when its share of failures exceeds that of the others by this much.
@@ -48,6 +56,12 @@
   return XXH3_64bits_withSeed(id.value().data(), id.value().size(), key);
 }
 
+/// Expected share of the endpoint's answers that fail.
+double FailureShare(PooledEndpoint& endpoint, MonotonicTime now) {
+  const double bad = endpoint.answers.bad(now);
+  return bad / (bad + endpoint.answers.good(now) + kAssumedGoodAnswers);
+}
+
 bool CountsAsFailure(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kFailure || outcome == AttemptOutcome::kBroken ||
          outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kRefused;
@@ -136,8 +150,8 @@
   double score = (Load(endpoint, now) + 1) / slots;
   score *= std::max(1.0, endpoint.latency_ratio / kSlowRatio);
   if (endpoint.record.availability_zone != local_zone_) score += kCrossZonePenalty;
-  score += endpoint.answers.bad(now) / slots;
-  return score;
+  const double failures = FailureShare(endpoint, now);
+  return score * (1 + kFailureWeight * failures / (1 - failures));
 }
 
 PooledEndpoint* EndpointPool::ChooseByAffinity(const std::vector<PooledEndpoint*>& candidates,
@@ -154,7 +168,9 @@
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   for (const auto& [weight, endpoint] : ranked) {
-    if (Load(*endpoint, now) <= max_load && endpoint->latency_ratio < kSlowRatio) return endpoint;
+    const bool sound =
+        endpoint->latency_ratio < kSlowRatio && FailureShare(*endpoint, now) < kMaxAffinityFailures;
+    if (sound && Load(*endpoint, now) <= max_load) return endpoint;
   }
   return nullptr;
 }
@@ -250,32 +266,47 @@
   endpoint.own_observation_at = now;
 }
 
-void EndpointPool::UpdateLoads(const std::vector<ObservedLoad>& loads, MonotonicTime now) {
-  for (const ObservedLoad& load : loads) {
-    const auto found = endpoints_.find(load.endpoint);
+void EndpointPool::Apply(const std::vector<EndpointObservation>& observations, MonotonicTime now) {
+  for (const EndpointObservation& seen : observations) {
+    const auto found = endpoints_.find(seen.endpoint);
     if (found == endpoints_.end()) continue;
     PooledEndpoint& endpoint = found->second;
-    const MonotonicTime stated_at = now - load.age;
-    if (stated_at <= endpoint.load_stated_at) continue;
+    endpoint.answers.Add(seen.good, seen.bad, now);
+    if (seen.bad > 0) BackOffOutlier(endpoint, now);
+    const MonotonicTime stated_at = now - seen.age;
+    if (seen.age > kMaxReportedLoadAge || stated_at <= endpoint.load_stated_at) continue;
     endpoint.in_flight_elsewhere =
-        std::max(0.0, static_cast<double>(load.open) - endpoint.in_flight);
+        std::max(0.0, static_cast<double>(seen.open) - endpoint.in_flight);
     endpoint.load_stated_at = stated_at;
   }
 }
 
-std::vector<ObservedLoad> EndpointPool::RecentLoads(std::size_t max_count,
-                                                    MonotonicTime now) const {
-  std::vector<ObservedLoad> loads;
+void EndpointPool::BeginReportInterval() {
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.previous_tally = std::exchange(endpoint.present_tally, {});
+  }
+}
+
+std::vector<EndpointObservation> EndpointPool::RecentObservations(std::size_t max_count,
+                                                                  MonotonicTime now) const {
+  std::vector<EndpointObservation> observations;
   for (const auto& [id, endpoint] : endpoints_) {
     const Duration age = now - endpoint.own_observation_at;
-    if (age > kMaxReportedLoadAge) continue;
-    loads.push_back(
-        {id, endpoint.own_observation, std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+    const std::uint32_t good = endpoint.present_tally.good + endpoint.previous_tally.good;
+    const std::uint32_t bad = endpoint.present_tally.bad + endpoint.previous_tally.bad;
+    if (age > kMaxReportedLoadAge && good + bad == 0) continue;
+    observations.push_back({id, endpoint.own_observation,
+                            std::chrono::duration_cast<std::chrono::milliseconds>(age), good, bad});
   }
-  std::sort(loads.begin(), loads.end(),
-            [](const ObservedLoad& a, const ObservedLoad& b) { return a.age < b.age; });
-  if (loads.size() > max_count) loads.resize(max_count);
-  return loads;
+  std::sort(observations.begin(), observations.end(),
+            [](const auto& a, const auto& b) { return a.age < b.age; });
+  if (observations.size() > max_count) observations.resize(max_count);
+  return observations;
+}
+
+void EndpointPool::CountAnswer(PooledEndpoint& endpoint, bool good, MonotonicTime now) {
+  endpoint.answers.Add(good ? 1 : 0, good ? 0 : 1, now);
+  ++(good ? endpoint.present_tally.good : endpoint.present_tally.bad);
 }
 
 void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
@@ -326,9 +357,9 @@
   }
   if (report.outcome == AttemptOutcome::kSuccess) {
     endpoint.failures_in_a_row = 0;
-    endpoint.answers.Add(true, now);
+    CountAnswer(endpoint, true, now);
   } else if (CountsAsFailure(report.outcome)) {
-    endpoint.answers.Add(false, now);
+    CountAnswer(endpoint, false, now);
     BackOffOutlier(endpoint, now);
   } else if (report.outcome == AttemptOutcome::kUnreachable ||
              report.outcome == AttemptOutcome::kWrongEndpoint) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -19,6 +19,12 @@
 
 namespace bamboodock {
 
+/// Answers to this entry in one report interval.
+struct AnswerTally {
+  std::uint32_t good = 0;
+  std::uint32_t bad = 0;
+};
+
 /// State of one endpoint: registration, load and health.
 struct PooledEndpoint {
   EndpointRecord record;
@@ -42,7 +48,11 @@
   /// failures.
   MonotonicTime backoff_until{};
   std::uint32_t failures_in_a_row = 0;
+  /// Answers to all entries, as far as they reported them.
   DecayingAnswerCounts answers;
+  /// Answers to this entry in the present and the previous report interval.
+  AnswerTally present_tally;
+  AnswerTally previous_tally;
   /// Smoothed ratio of the time to the head of an answer to the baseline of its route and model.
   double latency_ratio = 1;
   /// Attempts that this entry sent in the last second.
@@ -101,10 +111,13 @@
                      MonotonicTime now);
   /// Pending work of this entry, largest first, for at most `max_count` endpoints.
   std::vector<PendingWork> LargestPending(std::size_t max_count) const;
-  /// Takes over the loads that endpoints stated to another entry, where they are newer.
-  void UpdateLoads(const std::vector<ObservedLoad>& loads, MonotonicTime now);
-  /// Loads that endpoints lately stated to this entry, latest first, at most `max_count`.
-  std::vector<ObservedLoad> RecentLoads(std::size_t max_count, MonotonicTime now) const;
+  /// Takes over what another entry saw: the answers, and loads where they are newer.
+  void Apply(const std::vector<EndpointObservation>& observations, MonotonicTime now);
+  /// What this entry has lately seen, latest loads first, of at most `max_count` endpoints.
+  std::vector<EndpointObservation> RecentObservations(std::size_t max_count,
+                                                      MonotonicTime now) const;
+  /// Begins a new interval for the answers in `RecentObservations`.
+  void BeginReportInterval();
   /// Mean pending work of all entries per endpoint of the service, without draining ones.
   double MeanPending(const ServiceId& service, MonotonicTime now) const;
 
@@ -143,6 +156,7 @@
   /// Best of a few endpoints taken at random in the own zone and elsewhere.
   PooledEndpoint* ChooseByLoad(std::vector<PooledEndpoint*>& candidates, Random& random,
                                MonotonicTime now) const;
+  static void CountAnswer(PooledEndpoint& endpoint, bool good, MonotonicTime now);
   void BackOffOutlier(PooledEndpoint& endpoint, MonotonicTime now);
   void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report, bool updates_baseline);
 
--- a/src/bamboodock/policy/decaying_answer_counts.h
+++ b/src/bamboodock/policy/decaying_answer_counts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cmath>
+#include <cstdint>
 
 #include "bamboodock/core/units.h"
 
@@ -9,9 +10,10 @@
 /// Counts of good and bad answers that decay exponentially, with a half-life of `kHalfLife`.
 class DecayingAnswerCounts {
  public:
-  void Add(bool good, MonotonicTime now) {
+  void Add(std::uint32_t good, std::uint32_t bad, MonotonicTime now) {
     Decay(now);
-    (good ? good_ : bad_) += 1;
+    good_ += good;
+    bad_ += bad;
   }
 
   double good(MonotonicTime now) {
--- a/test/command/router/endpoint_placement_test.cc
+++ b/test/command/router/endpoint_placement_test.cc
@@ -49,6 +49,15 @@
     }
   }
 
+  /// Lets the first endpoints lose a share of their answers from now on.
+  void LoseAnswers(std::size_t endpoints, double share) {
+    losing_endpoints_ = endpoints;
+    lost_share_ = share;
+  }
+
+  /// Answers lost in the steps after the warm-up.
+  int lost() const { return lost_; }
+
   /// Mean over time of the largest number of open requests at one endpoint, as a multiple of the
   /// mean over all endpoints.
   double PeakToMean() {
@@ -60,7 +69,8 @@
       const double expected = kRate * std::chrono::duration<double>(kStep).count();
       for (int n = Count(expected); n > 0; --n) SendRequest(now);
       if (step % (kReportInterval / kStep) == 0) ExchangeReports(now);
-      if (step < kWarmUpSteps) continue;
+      counting_ = step >= kWarmUpSteps;
+      if (!counting_) continue;
       double total = 0;
       for (const std::uint32_t open : open_) total += open;
       sum += *std::max_element(open_.begin(), open_.end()) / (total / kEndpoints);
@@ -90,6 +100,15 @@
     const double seconds = -kMeanSeconds * std::log(1 - random_.Uniform());
     const auto duration =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    if (endpoint < losing_endpoints_ && random_.Uniform() < lost_share_) {
+      if (counting_) ++lost_;
+      AttemptReport report;
+      report.endpoint = id;
+      report.service = service_.id;
+      report.outcome = AttemptOutcome::kBroken;
+      pool.OnReport(report, {}, true, now);
+      return;
+    }
     ++open_[endpoint];
     requests_.push({now + duration, entry, endpoint});
     HeadReport head;
@@ -134,12 +153,15 @@
   void ExchangeReports(MonotonicTime now) {
     known_ = stated_;
     if (placement_ != Placement::kPool) return;
-    std::vector<std::vector<ObservedLoad>> reports;
-    for (const EndpointPool& pool : pools_) reports.push_back(pool.RecentLoads(16, now));
+    std::vector<std::vector<EndpointObservation>> reports;
+    for (EndpointPool& pool : pools_) {
+      reports.push_back(pool.RecentObservations(20, now));
+      pool.BeginReportInterval();
+    }
     ++round_;
     for (std::size_t to = 0; to < pools_.size(); ++to) {
       for (std::size_t from = 0; from < pools_.size(); ++from) {
-        if (from != to && (from + to + round_) % 2 == 0) pools_[to].UpdateLoads(reports[from], now);
+        if (from != to && (from + to + round_) % 2 == 0) pools_[to].Apply(reports[from], now);
       }
     }
   }
@@ -154,6 +176,10 @@
   /// Loads that all entries know, as of the last exchange of reports.
   std::vector<std::uint32_t> known_ = std::vector<std::uint32_t>(kEndpoints, 0);
   std::size_t round_ = 0;
+  std::size_t losing_endpoints_ = 0;
+  double lost_share_ = 0;
+  bool counting_ = false;
+  int lost_ = 0;
   std::priority_queue<OpenRequest, std::vector<OpenRequest>, std::greater<>> requests_;
 };
 
@@ -163,6 +189,7 @@
   CPPUNIT_TEST_SUITE(EndpointPlacementTest);
   CPPUNIT_TEST(ReportedLoadsSpreadRequests);
   CPPUNIT_TEST(EntriesDoNotHerd);
+  CPPUNIT_TEST(LosingEndpointsGetLess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -189,6 +216,23 @@
       CPPUNIT_ASSERT_MESSAGE(values, pool < random && pool < least);
     }
   }
+
+  // Guards against requests that are sent again and again to endpoints that lose a part of their
+  // answers, while each entry has seen too few answers to know.
+  void LosingEndpointsGetLess() {
+    const int with_reports = Lost(Placement::kPool);
+    const int without = Lost(Placement::kPoolWithoutReports);
+    const std::string values = std::to_string(with_reports) + " " + std::to_string(without);
+    CPPUNIT_ASSERT_MESSAGE(values, with_reports < 0.7 * without);
+  }
+
+ private:
+  static int Lost(Placement placement) {
+    PlacementReplay replay(33, placement);
+    replay.LoseAnswers(30, 0.4);
+    replay.PeakToMean();
+    return replay.lost();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointPlacementTest);
