--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds kMaxReportedLoadAge{600};
 /// Endpoints that are compared in the own zone, and as many elsewhere. Entries know the same loads,
 /// so they would all choose the same endpoint if they compared all.
-constexpr std::size_t kComparedPerSide = 2;
+constexpr std::size_t kComparedPerSide = 4;
 /// A report of pending work expires after this time; reports arrive more often than that.
 constexpr std::chrono::milliseconds kPendingLifetime{1000};
 /// Pending prompt tokens, at the price of the most expensive model, that count as one open request.
