Answer a request whose first bytes were read while the process stops

Cause: a connection that had promised to stay open closed when the process stopped between the first bytes of a request and its end.

Change: such a request is read and refused as not run, with Retry-After. Tests for late copies of an answer and for plans that expired while the process was paused.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -92,7 +92,8 @@
   exchange_ = nullptr;
   monitor->Stop();
   --services_.counters.open_requests;
-  co_return reusable&& drain_.phase == DrainPhase::kOpen;
+  // A request whose first bytes were read is answered, also while the process stops.
+  co_return reusable && (drain_.phase == DrainPhase::kOpen || reader_.HasBytes());
 }
 
 }  // namespace bamboodock
--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -71,6 +71,11 @@
   NetworkDuty& network() { return network_; }
   const RouterCounters& counters() const { return counters_; }
   void Plan(const Address& endpoint) { endpoints_.push_back(endpoint); }
+  /// Plans an attempt that must not be sent any more.
+  void PlanExpired(const Address& endpoint) {
+    valid_until_ = clock_.Now();
+    Plan(endpoint);
+  }
   std::vector<PlanReason> reasons;
 
   /// Sends bytes on a new connection and returns all bytes received until it closes.
@@ -122,13 +127,14 @@
       plan.model = query.model.empty() ? route_.models.front() : query.model;
     }
     plan.progress.model = plan.model;
-    plan.valid_until = MonotonicTime::max();
+    plan.valid_until = valid_until_;
     return plan;
   }
 
   Route route_;
   RoutedService service_;
   std::deque<Address> endpoints_;
+  MonotonicTime valid_until_ = MonotonicTime::max();
   platform::HttpWireProtocol wire_;
   BootClock clock_;
   NullEventLog log_;
@@ -174,6 +180,9 @@
   CPPUNIT_TEST(LowConfidenceEscalatesToLargerModel);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
   CPPUNIT_TEST(AmbiguousFramingIsRefused);
+  CPPUNIT_TEST(ExtraAnswerIsNotDelivered);
+  CPPUNIT_TEST(ExpiredPlanIsNotSent);
+  CPPUNIT_TEST(RequestReadDuringStopIsRefused);
   CPPUNIT_TEST(EndlessHeadIsGivenUp);
   CPPUNIT_TEST(EndlessInterimHeadsAreGivenUp);
   CPPUNIT_TEST(EndlessBodyIsGivenUp);
@@ -384,6 +393,64 @@
     CPPUNIT_ASSERT(endpoint.requests().empty());
   }
 
+  // Guards against a second copy of an answer that reaches the next request on the same connection.
+  void ExtraAnswerIsNotDelivered() {
+    ScriptedServer endpoint([](const auto&, std::size_t number) {
+      const std::string answer =
+          FullAnswer("200 OK", kAnswerHeaders, "answer " + std::to_string(number));
+      return Answer{answer + answer, ConnectionAction::kKeep};
+    });
+    TestRouter router(MakeRoute(RouteKind::kSafe));
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    std::string first = Post();
+    const std::string close = "Connection: close\r\n";
+    first.erase(first.find(close), close.size());
+    const std::string answers = router.Exchange(first + Post());
+    const std::size_t second = answers.find("answer 1");
+    CPPUNIT_ASSERT(Contains(answers, "answer 0") && second != std::string::npos);
+    CPPUNIT_ASSERT(answers.find("answer 0", answers.find("answer 0") + 1) == std::string::npos);
+    CPPUNIT_ASSERT(answers.find("answer 1", second + 1) == std::string::npos);
+  }
+
+  // Guards against a request that is sent on a permission that ran out while the process was paused
+  // or the connection was opened.
+  void ExpiredPlanIsNotSent() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{FullAnswer("200 OK", kAnswerHeaders, "done"), ConnectionAction::kClose};
+    });
+    TestRouter router(MakeRoute(RouteKind::kUnsafe));
+    router.PlanExpired(endpoint.address());
+    const std::string answer = router.Exchange(Post());
+    CPPUNIT_ASSERT(Contains(answer, "HTTP/1.1 503") && Contains(answer, "Retry-After: "));
+    CPPUNIT_ASSERT(endpoint.requests().empty());
+  }
+
+  // Guards against a request that is cut without an answer because it arrives while the process
+  // stops.
+  void RequestReadDuringStopIsRefused() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{FullAnswer("200 OK", kAnswerHeaders, "done"), ConnectionAction::kClose};
+    });
+    TestRouter router(MakeRoute(RouteKind::kSafe));
+    router.Plan(endpoint.address());
+    std::string first = Post();
+    const std::string close = "Connection: close\r\n";
+    first.erase(first.find(close), close.size());
+    const std::string second = Post();
+    const std::size_t half = second.size() / 2;
+    boost::asio::ip::tcp::socket caller = router.Connect();
+    boost::asio::write(caller, boost::asio::buffer(first + second.substr(0, half)));
+    std::string received;
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(received), "done");
+    router.network().CloseIdle();
+    boost::asio::write(caller, boost::asio::buffer(second.substr(half)));
+    const std::string answer = ReadToEnd(caller);
+    CPPUNIT_ASSERT_MESSAGE(answer, Contains(answer, "HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Contains(answer, "Retry-After: "));
+    CPPUNIT_ASSERT(router.network().AwaitIdle(std::chrono::seconds(10)));
+  }
+
   // Guards against memory that grows while an endpoint sends a head without end.
   void EndlessHeadIsGivenUp() {
     AssertEndlessAnswerIsGivenUp(RouteKind::kSafe, "HTTP/1.1 200 OK\r\n", "X-More: abcdefgh\r\n");
