Take back the shared loads and failures of endpoints

Cause: the present score compares all endpoints by the prompt tokens that they have yet to read, which reports already share. Comparing a few at random meets busy ones more often, and moving load away from endpoints that lose answers slows the others down.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -56,17 +56,8 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  Json observations = Json::array();
-  for (const EndpointObservation& seen : report.observations) {
-    observations.push_back(
-        Json::array({seen.endpoint.value(), seen.open, seen.age.count(), seen.good, seen.bad}));
-  }
-  const Json message{report.host.value(),
-                     report.incarnation.value(),
-                     rollouts,
-                     pending,
-                     Json::array({report.orders.digest, report.orders.until.count()}),
-                     observations};
+  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending,
+                     Json::array({report.orders.digest, report.orders.until.count()})};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
@@ -86,14 +77,6 @@
     if (message.size() <= 4) return report;
     report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
     report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
-    // Entries of the previous release send no observations.
-    if (message.size() <= 5) return report;
-    for (const Json& seen : message.at(5)) {
-      report.observations.push_back(
-          {EndpointId(seen.at(0).get<std::string>()), seen.at(1).get<std::uint32_t>(),
-           std::chrono::milliseconds(seen.at(2).get<std::int64_t>()),
-           seen.at(3).get<std::uint32_t>(), seen.at(4).get<std::uint32_t>()});
-    }
     return report;
   } catch (const Json::exception&) {
     // No failure is raised, since any host can send a datagram; the caller logs it.
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -16,13 +16,8 @@
 constexpr std::chrono::milliseconds kOutlierBackoff{2500};
 /// Registrations reach the store with a delay, so an endpoint counts as cold for this much longer.
 constexpr std::chrono::milliseconds kRegistrationLag{1200};
-/// Half-life of a stated load, since requests of other entries end after it was made.
-constexpr std::chrono::duration<double> kStatedLoadHalfLife{1.5};
-/// Stated loads up to this age are reported. Each other entry gets one of a few reports.
-constexpr std::chrono::milliseconds kMaxReportedLoadAge{600};
-/// Endpoints that are compared in the own zone, and as many elsewhere. Entries know the same loads,
-/// so they would all choose the same endpoint if they compared all.
-constexpr std::size_t kComparedPerSide = 4;
+/// Half-life of a load report, since requests of other entries end after it was made.
+constexpr std::chrono::duration<double> kReportHalfLife{1.5};
 /// A report of pending work expires after this time; reports arrive more often than that.
 constexpr std::chrono::milliseconds kPendingLifetime{1000};
 /// Pending prompt tokens, at the price of the most expensive model, that count as one open request.
@@ -34,14 +29,6 @@
 constexpr double kTokensPerExtraRequest = 1500;
 /// Added to the score of an endpoint in another zone, in requests per slot.
 constexpr double kCrossZonePenalty = 0.08;
-/// Answers that are assumed to be good besides those that were counted, so that a single failure
-/// says little.
-constexpr double kAssumedGoodAnswers = 3;
-/// Load in multiples of that of an answer which a failed one stands for: its repeat comes late and
-/// uses the repeat budget.
-constexpr double kFailureWeight = 3;
-/// Share of failures from which an endpoint is not chosen for its cache.
-constexpr double kMaxAffinityFailures = 0.2;
 /// Weighted failures before an endpoint is compared with the others.
 constexpr double kMinFailureWeight = 2.4;
 /// An endpoint backs off when its share of failures exceeds that of the others by this much.
@@ -56,12 +43,6 @@
   return XXH3_64bits_withSeed(id.value().data(), id.value().size(), key);
 }
 
-/// Expected share of the endpoint's answers that fail.
-double FailureShare(PooledEndpoint& endpoint, MonotonicTime now) {
-  const double bad = endpoint.answers.bad(now);
-  return bad / (bad + endpoint.answers.good(now) + kAssumedGoodAnswers);
-}
-
 bool CountsAsFailure(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kFailure || outcome == AttemptOutcome::kBroken ||
          outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kRefused;
@@ -140,8 +121,8 @@
 }
 
 double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
-  const std::chrono::duration<double> age = now - endpoint.load_stated_at;
-  return endpoint.in_flight + endpoint.in_flight_elsewhere * std::exp2(-age / kStatedLoadHalfLife) +
+  const std::chrono::duration<double> age = now - endpoint.load_reported_at;
+  return endpoint.in_flight + endpoint.in_flight_elsewhere * std::exp2(-age / kReportHalfLife) +
          TotalPending(endpoint, now) / kTokensPerPendingRequest;
 }
 
@@ -150,8 +131,8 @@
   double score = (Load(endpoint, now) + 1) / slots;
   score *= std::max(1.0, endpoint.latency_ratio / kSlowRatio);
   if (endpoint.record.availability_zone != local_zone_) score += kCrossZonePenalty;
-  const double failures = FailureShare(endpoint, now);
-  return score * (1 + kFailureWeight * failures / (1 - failures));
+  score += endpoint.answers.bad(now) / slots;
+  return score;
 }
 
 PooledEndpoint* EndpointPool::ChooseByAffinity(const std::vector<PooledEndpoint*>& candidates,
@@ -168,9 +149,7 @@
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   for (const auto& [weight, endpoint] : ranked) {
-    const bool sound =
-        endpoint->latency_ratio < kSlowRatio && FailureShare(*endpoint, now) < kMaxAffinityFailures;
-    if (sound && Load(*endpoint, now) <= max_load) return endpoint;
+    if (Load(*endpoint, now) <= max_load && endpoint->latency_ratio < kSlowRatio) return endpoint;
   }
   return nullptr;
 }
@@ -221,27 +200,10 @@
   if (requirements.affinity != 0) {
     if (PooledEndpoint* endpoint = ChooseByAffinity(candidates, requirements, now)) return endpoint;
   }
-  return ChooseByLoad(candidates, random, now);
-}
-
-PooledEndpoint* EndpointPool::ChooseByLoad(std::vector<PooledEndpoint*>& candidates, Random& random,
-                                           MonotonicTime now) const {
   std::shuffle(candidates.begin(), candidates.end(), random);
-  std::size_t compared_local = 0;
-  std::size_t compared_remote = 0;
-  PooledEndpoint* best = nullptr;
-  double best_score = 0;
-  for (PooledEndpoint* endpoint : candidates) {
-    const bool local = endpoint->record.availability_zone == local_zone_;
-    std::size_t& compared = local ? compared_local : compared_remote;
-    if (compared == kComparedPerSide) continue;
-    ++compared;
-    const double score = Score(*endpoint, now);
-    if (best != nullptr && score >= best_score) continue;
-    best = endpoint;
-    best_score = score;
-  }
-  return best;
+  return *std::min_element(
+      candidates.begin(), candidates.end(),
+      [&](PooledEndpoint* a, PooledEndpoint* b) { return Score(*a, now) < Score(*b, now); });
 }
 
 void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now) {
@@ -259,54 +221,9 @@
 void EndpointPool::UpdateLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
                               MonotonicTime now) {
   if (!load) return;
-  const std::uint32_t open = load->running.value() + load->waiting.value();
-  endpoint.in_flight_elsewhere = std::max(0.0, static_cast<double>(open) - endpoint.in_flight);
-  endpoint.load_stated_at = now;
-  endpoint.own_observation = open;
-  endpoint.own_observation_at = now;
-}
-
-void EndpointPool::Apply(const std::vector<EndpointObservation>& observations, MonotonicTime now) {
-  for (const EndpointObservation& seen : observations) {
-    const auto found = endpoints_.find(seen.endpoint);
-    if (found == endpoints_.end()) continue;
-    PooledEndpoint& endpoint = found->second;
-    endpoint.answers.Add(seen.good, seen.bad, now);
-    if (seen.bad > 0) BackOffOutlier(endpoint, now);
-    const MonotonicTime stated_at = now - seen.age;
-    if (seen.age > kMaxReportedLoadAge || stated_at <= endpoint.load_stated_at) continue;
-    endpoint.in_flight_elsewhere =
-        std::max(0.0, static_cast<double>(seen.open) - endpoint.in_flight);
-    endpoint.load_stated_at = stated_at;
-  }
-}
-
-void EndpointPool::BeginReportInterval() {
-  for (auto& [id, endpoint] : endpoints_) {
-    endpoint.previous_tally = std::exchange(endpoint.present_tally, {});
-  }
-}
-
-std::vector<EndpointObservation> EndpointPool::RecentObservations(std::size_t max_count,
-                                                                  MonotonicTime now) const {
-  std::vector<EndpointObservation> observations;
-  for (const auto& [id, endpoint] : endpoints_) {
-    const Duration age = now - endpoint.own_observation_at;
-    const std::uint32_t good = endpoint.present_tally.good + endpoint.previous_tally.good;
-    const std::uint32_t bad = endpoint.present_tally.bad + endpoint.previous_tally.bad;
-    if (age > kMaxReportedLoadAge && good + bad == 0) continue;
-    observations.push_back({id, endpoint.own_observation,
-                            std::chrono::duration_cast<std::chrono::milliseconds>(age), good, bad});
-  }
-  std::sort(observations.begin(), observations.end(),
-            [](const auto& a, const auto& b) { return a.age < b.age; });
-  if (observations.size() > max_count) observations.resize(max_count);
-  return observations;
-}
-
-void EndpointPool::CountAnswer(PooledEndpoint& endpoint, bool good, MonotonicTime now) {
-  endpoint.answers.Add(good ? 1 : 0, good ? 0 : 1, now);
-  ++(good ? endpoint.present_tally.good : endpoint.present_tally.bad);
+  const double total = load->running.value() + load->waiting.value();
+  endpoint.in_flight_elsewhere = std::max(0.0, total - endpoint.in_flight);
+  endpoint.load_reported_at = now;
 }
 
 void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
@@ -357,9 +274,9 @@
   }
   if (report.outcome == AttemptOutcome::kSuccess) {
     endpoint.failures_in_a_row = 0;
-    CountAnswer(endpoint, true, now);
+    endpoint.answers.Add(true, now);
   } else if (CountsAsFailure(report.outcome)) {
-    CountAnswer(endpoint, false, now);
+    endpoint.answers.Add(false, now);
     BackOffOutlier(endpoint, now);
   } else if (report.outcome == AttemptOutcome::kUnreachable ||
              report.outcome == AttemptOutcome::kWrongEndpoint) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -19,12 +19,6 @@
 
 namespace bamboodock {
 
-/// Answers to this entry in one report interval.
-struct AnswerTally {
-  std::uint32_t good = 0;
-  std::uint32_t bad = 0;
-};
-
 /// State of one endpoint: registration, load and health.
 struct PooledEndpoint {
   EndpointRecord record;
@@ -35,24 +29,16 @@
   std::uint64_t pending_work = 0;
   /// Pending work of the other entries with the time of their last report.
   std::map<IncarnationId, std::pair<std::uint64_t, MonotonicTime>> pending_elsewhere;
-  /// Open attempts of the other entries by the latest load that the endpoint stated to any entry,
-  /// and when it did.
+  /// Open attempts of the other entries by the endpoint's last load report, and when it arrived.
   double in_flight_elsewhere = 0;
-  MonotonicTime load_stated_at{};
-  /// Load that the endpoint stated to this entry, and when; for reports to the other entries.
-  std::uint32_t own_observation = 0;
-  MonotonicTime own_observation_at{};
+  MonotonicTime load_reported_at{};
   /// The request rate is limited until then, as the endpoint may have cold caches.
   MonotonicTime cold_until{};
   /// Chosen until then only if no other endpoint is usable, after a connect error or frequent
   /// failures.
   MonotonicTime backoff_until{};
   std::uint32_t failures_in_a_row = 0;
-  /// Answers to all entries, as far as they reported them.
   DecayingAnswerCounts answers;
-  /// Answers to this entry in the present and the previous report interval.
-  AnswerTally present_tally;
-  AnswerTally previous_tally;
   /// Smoothed ratio of the time to the head of an answer to the baseline of its route and model.
   double latency_ratio = 1;
   /// Attempts that this entry sent in the last second.
@@ -111,13 +97,6 @@
                      MonotonicTime now);
   /// Pending work of this entry, largest first, for at most `max_count` endpoints.
   std::vector<PendingWork> LargestPending(std::size_t max_count) const;
-  /// Takes over what another entry saw: the answers, and loads where they are newer.
-  void Apply(const std::vector<EndpointObservation>& observations, MonotonicTime now);
-  /// What this entry has lately seen, latest loads first, of at most `max_count` endpoints.
-  std::vector<EndpointObservation> RecentObservations(std::size_t max_count,
-                                                      MonotonicTime now) const;
-  /// Begins a new interval for the answers in `RecentObservations`.
-  void BeginReportInterval();
   /// Mean pending work of all entries per endpoint of the service, without draining ones.
   double MeanPending(const ServiceId& service, MonotonicTime now) const;
 
@@ -153,10 +132,6 @@
   PooledEndpoint* FindCurrent(const EndpointId& id, StartTime started);
   static void UpdateLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
                          MonotonicTime now);
-  /// Best of a few endpoints taken at random in the own zone and elsewhere.
-  PooledEndpoint* ChooseByLoad(std::vector<PooledEndpoint*>& candidates, Random& random,
-                               MonotonicTime now) const;
-  static void CountAnswer(PooledEndpoint& endpoint, bool good, MonotonicTime now);
   void BackOffOutlier(PooledEndpoint& endpoint, MonotonicTime now);
   void UpdateLatency(PooledEndpoint& endpoint, const AttemptReport& report, bool updates_baseline);
 
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -32,9 +32,6 @@
 /// Limit of endpoints with pending work in a report, so that it fits into one datagram.
 constexpr std::size_t kMaxPendingEndpoints = 24;
 
-/// Limit of endpoints whose load and answers are in a report, the latest loads first.
-constexpr std::size_t kMaxObservations = 20;
-
 /// A version without a rollout order is used only after this delay, since its order may arrive
 /// later than its registrations.
 constexpr std::chrono::milliseconds kVersionWithoutOrderDelay{4000};
@@ -454,7 +451,6 @@
   }
   ExtendCoverage(report.orders);
   pool_.UpdatePending(report.incarnation, report.pending, clock_.Now());
-  pool_.Apply(report.observations, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_timeout;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
@@ -467,7 +463,6 @@
 std::vector<RolloutProgress> RouteState::Tick() {
   const MonotonicTime now = clock_.Now();
   sessions_.Prune(now);
-  pool_.BeginReportInterval();
   for (const auto& [host, incarnation] : peers_.RemoveSilent(now, kPeerTimeout)) {
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.OnEntryEnded(incarnation);
@@ -485,12 +480,8 @@
 }
 
 PeerReport RouteState::MakeReport() const {
-  PeerReport report{identity_.host,
-                    identity_.incarnation,
-                    rollouts_.Evidence(),
-                    pool_.LargestPending(kMaxPendingEndpoints),
-                    orders_,
-                    pool_.RecentObservations(kMaxObservations, clock_.Now())};
+  PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
+                    pool_.LargestPending(kMaxPendingEndpoints), orders_};
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
--- a/src/bamboodock/policy/decaying_answer_counts.h
+++ b/src/bamboodock/policy/decaying_answer_counts.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cmath>
-#include <cstdint>
 
 #include "bamboodock/core/units.h"
 
@@ -10,10 +9,9 @@
 /// Counts of good and bad answers that decay exponentially, with a half-life of `kHalfLife`.
 class DecayingAnswerCounts {
  public:
-  void Add(std::uint32_t good, std::uint32_t bad, MonotonicTime now) {
+  void Add(bool good, MonotonicTime now) {
     Decay(now);
-    good_ += good;
-    bad_ += bad;
+    (good ? good_ : bad_) += 1;
   }
 
   double good(MonotonicTime now) {
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -36,18 +36,6 @@
   Tokens work;
 };
 
-/// What an entry has lately seen of an endpoint.
-struct EndpointObservation {
-  EndpointId endpoint;
-  /// Requests running and waiting at the endpoint, of all entries, as it last stated to this one.
-  std::uint32_t open = 0;
-  /// Time since the endpoint stated its load, when the report was made.
-  std::chrono::milliseconds age{0};
-  /// Answers in the last two report intervals. Each other entry gets about one of two reports.
-  std::uint32_t good = 0;
-  std::uint32_t bad = 0;
-};
-
 /// State of the operator's table at one time, as read by an entry. Invalid while `until` is zero.
 ///
 /// An entry with the same rows learns from it that they are still current, without reading the
@@ -66,7 +54,6 @@
   std::vector<RolloutEvidence> rollouts;
   std::vector<PendingWork> pending;
   OperatorTableState orders;
-  std::vector<EndpointObservation> observations;
 };
 
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -15,10 +15,9 @@
  public:
   // Guards against evidence that is lost on the way to the other entries.
   void RoundTripKeepsEveryField() {
-    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}, {}, {}};
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}, {}};
     report.orders = {18446744073709551615U, std::chrono::milliseconds(123456)};
     report.pending.push_back({EndpointId("e1"), Tokens(12000)});
-    report.observations.push_back({EndpointId("e2"), 17, std::chrono::milliseconds(230), 9, 4});
     RolloutEvidence evidence{
         ServiceId("s1"), 41, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
     evidence.answers.answers = 12;
@@ -38,11 +37,6 @@
     CPPUNIT_ASSERT(decoded->rollouts[0].old_answers == evidence.old_answers);
     CPPUNIT_ASSERT(decoded->rollouts[0].open_at_old == 3);
     CPPUNIT_ASSERT(decoded->rollouts[0].held_back == evidence.held_back);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->observations.size());
-    const EndpointObservation& seen = decoded->observations[0];
-    CPPUNIT_ASSERT(seen.endpoint == EndpointId("e2"));
-    CPPUNIT_ASSERT(seen.open == 17 && seen.age == std::chrono::milliseconds(230));
-    CPPUNIT_ASSERT(seen.good == 9 && seen.bad == 4);
     CPPUNIT_ASSERT(decoded->orders.digest == report.orders.digest);
     CPPUNIT_ASSERT(decoded->orders.until == report.orders.until);
   }
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -365,7 +365,7 @@
     state_->Apply(RouterDelta{});
   }
   static PeerReport MakePeerReport(const OperatorTableState& orders) {
-    return {HostId("h2"), IncarnationId("i2"), {}, {}, orders, {}};
+    return {HostId("h2"), IncarnationId("i2"), {}, {}, orders};
   }
   void Confirm() {
     OperatorDelta delta;
