Reserve a second at the end of a rollout for late orders and the write

All entries saw it 0.4 to 0.5 s late, so the completion was written at 25.7 s, which is after the operator's last look before 26 s: half of the last phase as a reserve (0.8 s) was not enough.

Result: RolloutScheduleTest::CompletesEarlyEnoughForALateOrder; exposure tests hold.

--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -166,6 +166,7 @@
   RolloutSnapshot snapshot;
   snapshot.state = rollout.progress->state;
   const std::chrono::duration<double> passed = store_now - rollout.progress->started;
+  snapshot.time_limit = rollout.order.time_limit;
   snapshot.progress = passed / std::chrono::duration<double>(rollout.order.time_limit);
   snapshot.bad = rollout.bad;
   snapshot.answers = rollout.own_target.answers;
--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 
 #include "bamboodock/core/units.h"
@@ -19,6 +20,8 @@
 /// State of a rollout at the time at which its next step is decided.
 struct RolloutSnapshot {
   RolloutState state = RolloutState::kRunning;
+  /// Time limit of the order.
+  Duration time_limit = std::chrono::seconds(60);
   /// Time since the order for the rollout, as a fraction of its time limit.
   double progress = 0;
   /// Whether the new version was found to be bad from the evidence of all entries.
@@ -61,7 +64,10 @@
   // Fractions of the last phase: traffic moves during the first one, at its start; the second one,
   // at its end, is a reserve within the time limit; the old version drains in between.
   constexpr double kMovingFraction = 0.15;
-  constexpr double kReservedFraction = 0.5;
+  constexpr double kReservedFraction = 0.35;
+  // The reserve is at least this long: an order may be seen late, and its completion is written to
+  // the store.
+  constexpr std::chrono::milliseconds kMinReserve{1000};
   // Minimum and maximum length of the last phase. The minimum leaves time to complete the rollout
   // under a low limit.
   constexpr double kMinLastPhase = 0.06;
@@ -77,7 +83,11 @@
       std::clamp((planned - trial) / (1 - trial), kMinLastPhase, kMaxLastPhase);
   schedule.move_begin = 1 - last_phase;
   schedule.move_end = 1 - (1 - kMovingFraction) * last_phase;
-  schedule.max_end = 1 - kReservedFraction * last_phase;
+  const double min_reserve =
+      std::chrono::duration<double>(kMinReserve) /
+      std::max<std::chrono::duration<double>>(snapshot.time_limit, kMinReserve);
+  const double reserve = std::max(kReservedFraction * last_phase, min_reserve);
+  schedule.max_end = std::max(schedule.move_end, 1 - reserve);
   return schedule;
 }
 
--- a/test/policy/rollout_schedule_test.cc
+++ b/test/policy/rollout_schedule_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ShareNeverDecreases);
   CPPUNIT_TEST(CompletesWhenOldVersionIsIdle);
   CPPUNIT_TEST(CompletesInTimeWithOpenRequests);
+  CPPUNIT_TEST(CompletesEarlyEnoughForALateOrder);
   CPPUNIT_TEST(ExposureIsBoundedWithoutBadAnswers);
   CPPUNIT_TEST(LowTrafficMovesEarlier);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,17 @@
     CPPUNIT_ASSERT(NextState(schedule_, snapshot) == RolloutState::kCompleted);
   }
 
+  // Guards against a rollout whose completion reaches the store after the operator's limit, because
+  // the order was seen half a second late.
+  void CompletesEarlyEnoughForALateOrder() {
+    RolloutSnapshot snapshot = Snapshot(0.96, 100);
+    snapshot.time_limit = std::chrono::seconds(24);
+    snapshot.requests = 5000;
+    snapshot.open_at_old = 3;
+    const RolloutSchedule schedule = MakeRolloutSchedule({Ratio(0.12), 30}, snapshot);
+    CPPUNIT_ASSERT(NextState(schedule, snapshot) == RolloutState::kCompleted);
+  }
+
   // Guards against a version that gets all the traffic although it is bad in a way that none of its
   // answers shows (deploy/days/bad-under-load, seed 617271518322).
   void ExposureIsBoundedWithoutBadAnswers() {
