--- a/test/process/support/child_process.cc
+++ b/test/process/support/child_process.cc
@@ -95,7 +95,8 @@
       if (line.starts_with("State:")) state = line.substr(line.find_first_not_of("State:\t "));
     }
     std::ifstream(task.path() / "wchan") >> wait_channel;
-    text += task.path().filename().string() + " " + state + " " + wait_channel + "\n";
+    text.append(task.path().filename()).append(" ").append(state).append(" ");
+    text.append(wait_channel).append("\n");
   }
   return text.empty() ? "process has ended\n" : text;
 }
