Reject malformed progress rows and count streams in merged evidence

Cause: a progress row with a field of another type raised an exception outside any guard and ended the process, at all entries at once; an unknown state was taken for a known one. Merged evidence left out streams and slow streams. A cancelled reservation of the ledger could go unnoticed by a waiter.

Change: DecodeProgress fails with a code and the row is logged; the merge adds all counts; the reservation is cancelled under the mutex.

Result: MalformedProgressIsRejected and MergeIgnoresRepeatedAndLateReports fail on the code before.

--- a/src/bamboodock/command/entry/chat_command.h
+++ b/src/bamboodock/command/entry/chat_command.h
@@ -22,7 +22,6 @@
   /// Checks a buffered answer; true when it is rejected and the request escalates to the next step.
   bool ShouldEscalate(ChatState& chat, const StepResult& step);
   void Finish(ChatState& chat, const StepResult& step, ResponseWriter& writer);
-  Failure FailureOf(const StepResult& step) const;
 
   RequestContext& context_;
 };
--- a/src/bamboodock/command/ledger/ledger_duty.cc
+++ b/src/bamboodock/command/ledger/ledger_duty.cc
@@ -40,7 +40,11 @@
 }
 
 void LedgerDuty::CancelReservation() {
-  --held_;
+  {
+    // Without the lock a waiter could miss the change between its check and its wait.
+    const std::lock_guard lock(held_mutex_);
+    --held_;
+  }
   held_changed_.notify_all();
 }
 
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -314,7 +314,15 @@
   RouterDelta delta;
   for (const StoreRow& row : rows) {
     if (auto peer = codec_.DecodePeer(row)) delta.peers.push_back(*peer);
-    if (auto progress = codec_.DecodeProgress(row)) delta.rollouts.push_back(*progress);
+    HandleFailure(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(progress, codec_.DecodeProgress(row));
+          if (progress) delta.rollouts.push_back(*progress);
+          return {};
+        },
+        [&](const Failure& failure) {
+          log_.Write(Event::kConfigRejected, RequestId(), failure.detail);
+        });
   }
   if (!delta.peers.empty()) listener_.OnPeers(delta.peers);
   return listener_.OnChange(std::move(delta));
--- a/src/bamboodock/policy/version_evidence.cc
+++ b/src/bamboodock/policy/version_evidence.cc
@@ -8,6 +8,8 @@
   total_.answers += newer.answers - known.answers;
   total_.errors += newer.errors - known.errors;
   total_.slow += newer.slow - known.slow;
+  total_.streams += newer.streams - known.streams;
+  total_.slow_streams += newer.slow_streams - known.slow_streams;
   total_.ratings += newer.ratings - known.ratings;
   total_.bad_ratings += newer.bad_ratings - known.bad_ratings;
   known = newer;
--- a/src/bamboodock/routing/directory_codec.h
+++ b/src/bamboodock/routing/directory_codec.h
@@ -65,8 +65,9 @@
   virtual Result<EndpointRecord> DecodeEndpoint(const StoreRow& row) const = 0;
   /// Empty when the row is deleted or is not the row of an entry with a valid address.
   virtual std::optional<PeerRecord> DecodePeer(const StoreRow& row) const = 0;
-  /// Empty when the row is deleted or is not a rollout row with a JSON object.
-  virtual std::optional<RolloutProgress> DecodeProgress(const StoreRow& row) const = 0;
+  /// Empty when the row is deleted or is not a rollout row; fails with `kBadMessage` when it is
+  /// malformed.
+  virtual Result<std::optional<RolloutProgress>> DecodeProgress(const StoreRow& row) const = 0;
 
   virtual RowWrite EncodePeer(const PeerRecord& peer) const = 0;
   /// Writes for the progress row and the operator's status row, on condition that the progress row
--- a/src/bamboodock/routing/operator_orders.h
+++ b/src/bamboodock/routing/operator_orders.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <map>
-#include <set>
+#include <chrono>
+#include <cstdint>
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/units.h"
@@ -33,10 +33,4 @@
   std::uint64_t revision = 0;
 };
 
-/// Orders in force: rollouts by service, and the evacuated availability zones.
-struct OperatorOrders {
-  std::map<ServiceId, RolloutOrder> rollouts;
-  std::set<AvailabilityZoneId> evacuated;
-};
-
 }  // namespace bamboodock
--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -29,6 +29,12 @@
   return {std::move(table), std::move(key), std::move(value), 5, false};
 }
 
+/// Progress in a row; empty when there is none or the row is malformed.
+std::optional<RolloutProgress> ReadProgress(const StoreRow& row) {
+  return HandleFailure([&] { return PlatformDirectoryCodec().DecodeProgress(row); },
+                       [](const Failure&) { return std::optional<RolloutProgress>(); });
+}
+
 template <class Read>
 bool FailsWithBadMessage(Read read) {
   return HandleFailure(
@@ -49,6 +55,7 @@
   CPPUNIT_TEST(MalformedRowsAreRejected);
   CPPUNIT_TEST(MutatedRowsNeverCrash);
   CPPUNIT_TEST(RolloutProgressRoundTrips);
+  CPPUNIT_TEST(MalformedProgressIsRejected);
   CPPUNIT_TEST(StoreAnswersAreClassified);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,12 +143,27 @@
     CPPUNIT_ASSERT(writes[1].row.value.find("rolled_back") != std::string::npos);
     StoreRow row = writes[0].row;
     row.revision = 60;
-    const auto read = PlatformDirectoryCodec().DecodeProgress(row);
+    const auto read = ReadProgress(row);
     CPPUNIT_ASSERT(read && read->state == RolloutState::kRolledBack);
     CPPUNIT_ASSERT(read->order_revision == 41 && read->revision == 60);
     CPPUNIT_ASSERT(read->started == std::chrono::milliseconds(7000));
   }
 
+  // Guards against a process that ends because of a row that another program wrote, and against an
+  // unknown state that is taken for a known one.
+  void MalformedProgressIsRejected() {
+    const PlatformDirectoryCodec codec;
+    for (const char* value :
+         {"", "[]", "{}", R"({"target":7,"orderRevision":1,"state":0,"startedMs":1})",
+          R"({"target":"v2","orderRevision":"x","state":0,"startedMs":1})",
+          R"({"target":"v2","orderRevision":1,"state":3,"startedMs":1})",
+          R"({"target":"v2","orderRevision":1,"state":-1,"startedMs":1})"}) {
+      const StoreRow row = Row("bamboodock", "rollout/s1", value);
+      CPPUNIT_ASSERT_MESSAGE(value, FailsWithBadMessage([&] { return codec.DecodeProgress(row); }));
+    }
+    CPPUNIT_ASSERT(!ReadProgress(Row("bamboodock", "entry/h1", "10.0.0.1:7340")));
+  }
+
   // Guards against store errors that are reported under the wrong code, and against values that are
   // not encoded in base64.
   void StoreAnswersAreClassified() {
--- a/test/policy/rollout_guard_test.cc
+++ b/test/policy/rollout_guard_test.cc
@@ -45,15 +45,15 @@
   // Guards against counting evidence twice when peers relay it or an old report arrives late.
   void MergeIgnoresRepeatedAndLateReports() {
     VersionEvidence a;
-    a.Merge(IncarnationId("x"), {10, 1, 0, 0, 0});
-    a.Merge(IncarnationId("x"), {20, 2, 0, 0, 0});
-    a.Merge(IncarnationId("x"), {10, 1, 0, 0, 0});
+    a.Merge(IncarnationId("x"), {10, 1, 0, 0, 0, 8, 1});
+    a.Merge(IncarnationId("x"), {20, 2, 0, 0, 0, 16, 3});
+    a.Merge(IncarnationId("x"), {10, 1, 0, 0, 0, 8, 1});
     VersionEvidence b;
-    b.Merge(IncarnationId("y"), {5, 0, 0, 0, 0});
+    b.Merge(IncarnationId("y"), {5, 0, 0, 0, 0, 4, 2});
     b.Merge(a);
     a.Merge(b);
     a.Merge(b);
-    const EvidenceCounters expected{25, 2, 0, 0, 0};
+    const EvidenceCounters expected{25, 2, 0, 0, 0, 20, 5};
     CPPUNIT_ASSERT(a.total() == expected);
     CPPUNIT_ASSERT(b.total() == expected);
   }
