Log and count what answers say about draining endpoints

A first statement of a lifetime is logged (726 endpoint_draining) with what the registration said; 716 shows how old the statement is when a further attempt is planned, 717 the time from plan to send and whether the answer states it; bamboodock_answers_draining_total counts. No decision changes.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -233,6 +233,10 @@
   UpdateLoad(*endpoint, report.load, now);
 }
 
+bool EndpointPool::OnDrainingStated(const EndpointId& id, StartTime started, MonotonicTime now) {
+  return statements_.AddDraining(id, started, now);
+}
+
 void EndpointPool::BackOffOutlier(PooledEndpoint& endpoint, MonotonicTime now) {
   const double bad = endpoint.answers.bad(now);
   if (bad < kMinFailureWeight) return;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -9,6 +9,7 @@
 #include "bamboodock/core/clock.h"
 #include "bamboodock/policy/cold_rate_limit.h"
 #include "bamboodock/policy/decaying_answer_counts.h"
+#include "bamboodock/policy/endpoint_statements.h"
 #include "bamboodock/policy/entry_ranking.h"
 #include "bamboodock/policy/latency_baseline.h"
 #include "bamboodock/policy/random.h"
@@ -84,6 +85,9 @@
                          MonotonicTime now);
   void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
+  /// Records that an answer of the endpoint states that it drains; returns whether that was not
+  /// known before.
+  bool OnDrainingStated(const EndpointId& id, StartTime started, MonotonicTime now);
   /// @param updates_baseline Whether the latency enters the baseline. Must be false for a version
   /// on trial, which is compared with the baseline.
   void OnReport(const AttemptReport& report, Duration cold_time, bool updates_baseline,
@@ -113,6 +117,7 @@
   std::uint64_t OpenAtOtherVersions(const ServiceId& service, const VersionId& target) const;
   std::size_t size() const { return endpoints_.size(); }
   const PooledEndpoint* Find(const EndpointId& id) const;
+  const EndpointStatements& statements() const { return statements_; }
 
  private:
   /// Requests per second that this entry may send to the endpoint while it is cold.
@@ -142,6 +147,7 @@
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
   LatencyBaseline latency_baseline_;
+  EndpointStatements statements_;
   /// Endpoints that each other entry listed in its last report.
   std::map<IncarnationId, std::vector<EndpointId>> reported_by_entry_;
   /// Cached results of `VersionCounts`; cleared when an endpoint changes.
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -130,10 +130,12 @@
   report.work = plan.work;
   report.prompt_tokens = request_->metadata.prompt_tokens;
   report.model = plan.model.empty() ? request_->metadata.model : plan.model;
-  services_.log.Write(Event::kAttemptEnded, RequestId(request_->metadata.attempt.value()),
-                      fmt::format("endpoint={} outcome={} head_ms={} event_ms={} note='{}'",
-                                  plan.endpoint.value(), Name(outcome), MillisOrNone(head_latency_),
-                                  MillisOrNone(report.event_interval), detail));
+  services_.log.Write(
+      Event::kAttemptEnded, RequestId(request_->metadata.attempt.value()),
+      fmt::format(
+          "endpoint={} outcome={} connect_ms={} head_ms={} event_ms={} draining={} note='{}'",
+          plan.endpoint.value(), Name(outcome), MillisOrNone(connect_time_),
+          MillisOrNone(head_latency_), MillisOrNone(report.event_interval), draining_, detail));
   Post(std::move(report));
 }
 
@@ -210,9 +212,17 @@
   if (status == CallStatus::kTooLarge) ++services_.counters.answers_over_limit;
 }
 
-void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
+void RequestExchange::ResetAttempt() {
+  attempt_started_ = services_.clock.Now();
+  connect_time_.reset();
   head_latency_.reset();
   sent_ = false;
+  draining_ = false;
+  event_interval_ = {};
+}
+
+void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
+  ResetAttempt();
   Report(plan, AttemptOutcome::kCancelled, "request ended before the attempt was sent");
 }
 
@@ -265,9 +275,7 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::RunAttempt(AttemptPlan plan) {
   progress_ = plan.progress;
   SetDeadline(*progress_.route);
-  head_latency_.reset();
-  sent_ = false;
-  event_interval_ = {};
+  ResetAttempt();
   if (TimeLeft() <= Duration::zero()) {
     Report(plan, AttemptOutcome::kCancelled, "deadline exceeded before the request was sent");
     const bool reusable = co_await RefuseExpired();
@@ -298,7 +306,9 @@
   forward.time_left = std::max<Duration>(TimeLeft(), std::chrono::milliseconds(1));
   forward.engine_priority = plan.engine_priority;
   forward.last_event = events_.last_id();
-  attempt_started_ = services_.clock.Now();
+  const MonotonicTime sent_at = services_.clock.Now();
+  connect_time_ = sent_at - attempt_started_;
+  attempt_started_ = sent_at;
   ++runs_;
   ++progress_.sent;
   sent_ = true;
@@ -362,7 +372,10 @@
   AnswerHead head =
       services_.protocol.DecodeAnswer(received.code, received.headers, request_->metadata.attempt);
   head_latency_ = services_.clock.Now() - attempt_started_;
-  Post(HeadReport{plan.endpoint, plan.started, plan.work, head.load});
+  draining_ = head.draining;
+  if (draining_) ++services_.counters.answers_draining;
+  Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
+                  plan.work, head.load, head.draining});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -88,6 +88,8 @@
   void SetDeadline(const Route& route);
   /// Counts an answer that was given up because of its size.
   void CountOverLimit(CallStatus status);
+  /// Forgets what is known of the previous attempt.
+  void ResetAttempt();
   /// Reports an attempt that was planned and will not be sent.
   void ReleaseUnsent(const AttemptPlan& plan);
   void Report(const AttemptPlan& plan, AttemptOutcome outcome, std::string_view detail);
@@ -115,6 +117,10 @@
   MonotonicTime attempt_started_{};
   /// Whether the endpoint of the current attempt may have received the request.
   bool sent_ = false;
+  /// Whether the answer of the current attempt states that its endpoint drains.
+  bool draining_ = false;
+  /// Time from the plan until the request was sent; empty when it was not sent.
+  std::optional<Duration> connect_time_;
   std::optional<Duration> head_latency_;
   MeanEventInterval event_interval_;
   /// Attempt that replaces one without an answer.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -80,6 +80,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Milliseconds for a log line; -1 when there is no time.
+std::int64_t MillisSince(const std::optional<MonotonicTime>& time, MonotonicTime now) {
+  return time ? ToMillis(now - *time) : -1;
+}
+
 /// Maps the priority of a request to the ten levels of the engine, of which 0 is the most urgent.
 std::uint32_t EnginePriority(Priority priority) { return std::min(priority.value() * 2 + 1, 9U); }
 
@@ -321,9 +326,12 @@
   plan.progress = std::move(progress);
   log_.Write(
       Event::kAttemptPlanned, RequestId(request.metadata.attempt.value()),
-      fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} {}",
+      fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} "
+                  "stated_draining_ms={} {}",
                   plan.endpoint.value(), version.value(), plan.model.value(), Name(query.reason),
-                  request.metadata.session.value(), endpoint->in_flight, ConfigSummary()));
+                  request.metadata.session.value(), endpoint->in_flight,
+                  MillisSince(pool_.statements().DrainingSince(plan.endpoint, plan.started), now),
+                  ConfigSummary()));
   return {std::move(plan), {}, nullptr, nullptr};
 }
 
@@ -340,7 +348,16 @@
       share * static_cast<double>(request.metadata.prompt_tokens.value())));
 }
 
-void RouteState::Apply(const HeadReport& report) { pool_.OnHead(report, clock_.Now()); }
+void RouteState::Apply(const HeadReport& report) {
+  const MonotonicTime now = clock_.Now();
+  pool_.OnHead(report, now);
+  if (!report.draining || !pool_.OnDrainingStated(report.endpoint, report.started, now)) return;
+  const PooledEndpoint* endpoint = pool_.Find(report.endpoint);
+  log_.Write(Event::kEndpointDraining, report.request,
+             fmt::format("endpoint={} started={} registered={} registered_draining={}",
+                         report.endpoint.value(), report.started.value(), endpoint != nullptr,
+                         endpoint != nullptr && endpoint->record.draining));
+}
 
 void RouteState::Apply(const AttemptReport& report) {
   const MonotonicTime now = clock_.Now();
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -82,6 +82,7 @@
     EventName{Event::kReadinessChanged, "readiness_changed"},
     EventName{Event::kPeerHeard, "peer_heard"},
     EventName{Event::kRolloutShareChanged, "rollout_share_changed"},
+    EventName{Event::kEndpointDraining, "endpoint_draining"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -85,6 +85,7 @@
   kReadinessChanged = 723,
   kPeerHeard = 724,
   kRolloutShareChanged = 725,
+  kEndpointDraining = 726,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- /dev/null
+++ b/src/bamboodock/policy/endpoint_statements.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "bamboodock/core/ids.h"
+#include "bamboodock/core/units.h"
+#include "bamboodock/routing/endpoint_record.h"
+
+namespace bamboodock {
+
+/// What endpoints state about themselves in their answers.
+///
+/// A statement belongs to one lifetime of an endpoint, given by its id and start time. It outlives
+/// the registration, which may expire and return during an outage of the store.
+///
+/// Load pattern: endpoints that drain while this entry cannot read their registrations.
+class EndpointStatements {
+ public:
+  /// Statements are kept for at most this many lifetimes; the oldest are dropped first.
+  static constexpr std::size_t kMaxLifetimes = 4096;
+
+  /// Records that the endpoint drains, which holds until its lifetime ends.
+  /// @return Whether this was not known before.
+  bool AddDraining(const EndpointId& id, StartTime started, MonotonicTime now) {
+    Statement& statement = FindOrAdd(id, started, now);
+    if (statement.draining_since) return false;
+    statement.draining_since = now;
+    return true;
+  }
+
+  /// When the endpoint first stated that it drains; empty when it has not.
+  std::optional<MonotonicTime> DrainingSince(const EndpointId& id, StartTime started) const {
+    const auto found = statements_.find({id, started});
+    return found == statements_.end() ? std::nullopt : found->second.draining_since;
+  }
+
+ private:
+  using Lifetime = std::pair<EndpointId, StartTime>;
+  struct Statement {
+    MonotonicTime first_at{};
+    std::optional<MonotonicTime> draining_since;
+  };
+
+  Statement& FindOrAdd(const EndpointId& id, StartTime started, MonotonicTime now) {
+    const auto [found, added] = statements_.try_emplace({id, started});
+    if (!added) return found->second;
+    found->second.first_at = now;
+    by_age_.emplace(now, found->first);
+    if (statements_.size() > kMaxLifetimes) {
+      statements_.erase(by_age_.begin()->second);
+      by_age_.erase(by_age_.begin());
+    }
+    return statements_.at({id, started});
+  }
+
+  std::map<Lifetime, Statement> statements_;
+  std::multimap<MonotonicTime, Lifetime> by_age_;
+};
+
+}  // namespace bamboodock
--- a/src/bamboodock/routing/answer_head.h
+++ b/src/bamboodock/routing/answer_head.h
@@ -36,6 +36,8 @@
   /// Confidence that the model reports for its answer, 0 to 100.
   std::optional<std::uint32_t> confidence;
   std::optional<ReportedLoad> load;
+  /// Whether the endpoint states that it drains.
+  bool draining = false;
 
   bool IsSuccess() const { return status >= 200 && status < 300; }
 };
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -94,10 +94,14 @@
 
 /// Reports that the head of an answer has arrived, that is, that the prompt has been read.
 struct HeadReport {
+  /// Request of the answer, for log lines.
+  RequestId request;
   EndpointId endpoint;
   StartTime started;
   Tokens work;
   std::optional<ReportedLoad> load;
+  /// Whether the endpoint states that it drains.
+  bool draining = false;
 };
 
 /// Outcome of one attempt, for the load estimate and the rollout evidence about versions.
