--- a/test/main.cc
+++ b/test/main.cc
@@ -14,6 +14,7 @@
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   runner.run(controller);
   CppUnit::CompilerOutputter outputter(&collector, std::cerr);
+  outputter.setNoWrap();
   outputter.write();
   return collector.wasSuccessful() ? 0 : 1;
 }
