Send no requests to an endpoint that has stated that it drains

Callers saw: requests that were sent to a leaving endpoint and cut when it ended, while the entry could not read registrations. Cause: an entry knew of a departure from the registration only; the statement in the answers was not read. Class of fault: two sources state one fact, and only the one that fails with the store is used. Change: EndpointStatements remembers by lifetime (id and start time) that an endpoint drains, whether an answer or its registration said so, until it restarts. An answer 421 speaks for the endpoint that gives it, so it is left out. Measured: DrainingEndpointGetsNoRequestsWhileTheStoreIsSilent failed before (6 requests instead of 1) and passes; DepartureIsKnownUntilTheEndpointRestarts and AnotherEndpointDoesNotSpeakForThePlannedOne are new; 302 unit tests pass.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -78,6 +78,11 @@
     endpoint.cold_until = now + cold_time + kRegistrationLag;
   }
   endpoint.record = record;
+  if (record.draining) {
+    statements_.AddDraining(record.id, record.started, now);
+  } else if (statements_.IsDraining(record.id, record.started)) {
+    endpoint.record.draining = true;
+  }
   if (record.cold_remaining > Duration::zero()) {
     endpoint.cold_until =
         std::max(endpoint.cold_until, now + record.cold_remaining + kRegistrationLag);
@@ -234,7 +239,12 @@
 }
 
 bool EndpointPool::OnDrainingStated(const EndpointId& id, StartTime started, MonotonicTime now) {
-  return statements_.AddDraining(id, started, now);
+  if (!statements_.AddDraining(id, started, now)) return false;
+  if (PooledEndpoint* endpoint = FindCurrent(id, started)) {
+    endpoint->record.draining = true;
+    version_counts_.clear();
+  }
+  return true;
 }
 
 void EndpointPool::BackOffOutlier(PooledEndpoint& endpoint, MonotonicTime now) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -85,8 +85,8 @@
                          MonotonicTime now);
   void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
-  /// Records that an answer of the endpoint states that it drains; returns whether that was not
-  /// known before.
+  /// Records that an answer of the endpoint states that it drains. It is not chosen again in this
+  /// lifetime, whatever its registration says. Returns whether that was not known before.
   bool OnDrainingStated(const EndpointId& id, StartTime started, MonotonicTime now);
   /// @param updates_baseline Whether the latency enters the baseline. Must be false for a version
   /// on trial, which is compared with the baseline.
@@ -117,7 +117,6 @@
   std::uint64_t OpenAtOtherVersions(const ServiceId& service, const VersionId& target) const;
   std::size_t size() const { return endpoints_.size(); }
   const PooledEndpoint* Find(const EndpointId& id) const;
-  const EndpointStatements& statements() const { return statements_; }
 
  private:
   /// Requests per second that this entry may send to the endpoint while it is cold.
@@ -147,6 +146,7 @@
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
   LatencyBaseline latency_baseline_;
+  /// Includes what registrations said, since an older one may be delivered again.
   EndpointStatements statements_;
   /// Endpoints that each other entry listed in its last report.
   std::map<IncarnationId, std::vector<EndpointId>> reported_by_entry_;
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -372,10 +372,11 @@
   AnswerHead head =
       services_.protocol.DecodeAnswer(received.code, received.headers, request_->metadata.attempt);
   head_latency_ = services_.clock.Now() - attempt_started_;
-  draining_ = head.draining;
+  // Another endpoint speaks for itself, not for the one that was planned.
+  draining_ = head.draining && !head.wrong_endpoint;
   if (draining_) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
-                  plan.work, head.load, head.draining});
+                  plan.work, head.load, draining_});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -80,11 +80,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// Milliseconds for a log line; -1 when there is no time.
-std::int64_t MillisSince(const std::optional<MonotonicTime>& time, MonotonicTime now) {
-  return time ? ToMillis(now - *time) : -1;
-}
-
 /// Maps the priority of a request to the ten levels of the engine, of which 0 is the most urgent.
 std::uint32_t EnginePriority(Priority priority) { return std::min(priority.value() * 2 + 1, 9U); }
 
@@ -326,12 +321,9 @@
   plan.progress = std::move(progress);
   log_.Write(
       Event::kAttemptPlanned, RequestId(request.metadata.attempt.value()),
-      fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} "
-                  "stated_draining_ms={} {}",
+      fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} {}",
                   plan.endpoint.value(), version.value(), plan.model.value(), Name(query.reason),
-                  request.metadata.session.value(), endpoint->in_flight,
-                  MillisSince(pool_.statements().DrainingSince(plan.endpoint, plan.started), now),
-                  ConfigSummary()));
+                  request.metadata.session.value(), endpoint->in_flight, ConfigSummary()));
   return {std::move(plan), {}, nullptr, nullptr};
 }
 
@@ -352,11 +344,9 @@
   const MonotonicTime now = clock_.Now();
   pool_.OnHead(report, now);
   if (!report.draining || !pool_.OnDrainingStated(report.endpoint, report.started, now)) return;
-  const PooledEndpoint* endpoint = pool_.Find(report.endpoint);
   log_.Write(Event::kEndpointDraining, report.request,
-             fmt::format("endpoint={} started={} registered={} registered_draining={}",
-                         report.endpoint.value(), report.started.value(), endpoint != nullptr,
-                         endpoint != nullptr && endpoint->record.draining));
+             fmt::format("endpoint={} started={} registered={}", report.endpoint.value(),
+                         report.started.value(), pool_.Find(report.endpoint) != nullptr));
 }
 
 void RouteState::Apply(const AttemptReport& report) {
--- a/src/bamboodock/policy/endpoint_statements.h
+++ b/src/bamboodock/policy/endpoint_statements.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <utility>
 
 #include "bamboodock/core/ids.h"
@@ -26,22 +25,19 @@
   /// @return Whether this was not known before.
   bool AddDraining(const EndpointId& id, StartTime started, MonotonicTime now) {
     Statement& statement = FindOrAdd(id, started, now);
-    if (statement.draining_since) return false;
-    statement.draining_since = now;
-    return true;
+    return !std::exchange(statement.draining, true);
   }
 
-  /// When the endpoint first stated that it drains; empty when it has not.
-  std::optional<MonotonicTime> DrainingSince(const EndpointId& id, StartTime started) const {
+  bool IsDraining(const EndpointId& id, StartTime started) const {
     const auto found = statements_.find({id, started});
-    return found == statements_.end() ? std::nullopt : found->second.draining_since;
+    return found != statements_.end() && found->second.draining;
   }
 
  private:
   using Lifetime = std::pair<EndpointId, StartTime>;
   struct Statement {
     MonotonicTime first_at{};
-    std::optional<MonotonicTime> draining_since;
+    bool draining = false;
   };
 
   Statement& FindOrAdd(const EndpointId& id, StartTime started, MonotonicTime now) {
--- a/test/command/router/endpoint_pool_test.cc
+++ b/test/command/router/endpoint_pool_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ReportReplacesPreviousReport);
   CPPUNIT_TEST(PendingWorkOfEndedEntryIsCleared);
   CPPUNIT_TEST(VersionCountsFollowRegistrations);
+  CPPUNIT_TEST(DepartureIsKnownUntilTheEndpointRestarts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -61,6 +62,26 @@
     CPPUNIT_ASSERT(!pool_.VersionCounts(kService).contains(VersionId("v2")));
   }
 
+  // Guards against a departure that is forgotten because the registration expires and returns, or
+  // an older one is delivered again, during an outage of the store.
+  void DepartureIsKnownUntilTheEndpointRestarts() {
+    EndpointRecord record = MakeEndpoint("e1", "v1");
+    CPPUNIT_ASSERT(pool_.OnDrainingStated(record.id, record.started, kNow));
+    CPPUNIT_ASSERT(!pool_.OnDrainingStated(record.id, record.started, kNow));
+    CPPUNIT_ASSERT(pool_.VersionCounts(kService).at(VersionId("v1")) == 1);
+    pool_.Remove(record.id);
+    pool_.Upsert(record, {}, kNow);
+    CPPUNIT_ASSERT(pool_.Find(record.id)->record.draining);
+    record.started = StartTime(2);
+    pool_.Upsert(record, {}, kNow);
+    CPPUNIT_ASSERT(!pool_.Find(record.id)->record.draining);
+    record.draining = true;
+    pool_.Upsert(record, {}, kNow);
+    record.draining = false;
+    pool_.Upsert(record, {}, kNow);
+    CPPUNIT_ASSERT(pool_.Find(record.id)->record.draining);
+  }
+
  private:
   EndpointPool pool_{HostId("h1"), AvailabilityZoneId("z1"), 1.5, 5};
 };
--- a/test/command/router/endpoint_statements_test.cc
+++ b/test/command/router/endpoint_statements_test.cc
@@ -37,6 +37,7 @@
 class EndpointStatementsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndpointStatementsTest);
   CPPUNIT_TEST(DrainingEndpointGetsNoRequestsWhileTheStoreIsSilent);
+  CPPUNIT_TEST(AnotherEndpointDoesNotSpeakForThePlannedOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,6 +54,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{kRequests - 1}, ready.requests().size());
   }
 
+  // Guards against a ready endpoint that is left out because a draining one answers at its old
+  // address.
+  void AnotherEndpointDoesNotSpeakForThePlannedOne() {
+    ScriptedServer server([](const Request& request, std::size_t number) {
+      const std::string headers = number == 0 ? "Server-Leaving: 1\r\n" : "";
+      return MakeAnswer(request, number == 0 ? "421 Misdirected" : "200 OK", headers);
+    });
+    LoopbackRouter router(MakeRoute());
+    router.Register("e1", server.address());
+    router.Request("a1");
+    CPPUNIT_ASSERT(router.log().Text().find("endpoint_draining") == std::string::npos);
+  }
+
  private:
   static void SendAll(LoopbackRouter& router) {
     for (int i = 0; i < kRequests; ++i) {
