Leave an endpoint alone for as long as its 503 asks

Cause: the same as of the requests to draining endpoints: what an endpoint states about itself in an answer is not read. Change: the adapter decodes Retry-After of a 503 (seconds, at most an hour); EndpointStatements keeps the end of the pause for the endpoint's lifetime, and the pool does not choose the endpoint until then, not even as the last one. When only such endpoints are left, the request is refused at once (endpoint_at_limit) with the end of the first pause as Retry-After.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -117,6 +117,21 @@
   return std::find(tried.begin(), tried.end(), record.id) == tried.end();
 }
 
+MonotonicTime EndpointPool::UnavailableUntil(const PooledEndpoint& endpoint) const {
+  return statements_.UnavailableUntil(endpoint.record.id, endpoint.record.started);
+}
+
+std::optional<MonotonicTime> EndpointPool::FirstAvailableAt(
+    const EndpointRequirements& requirements, MonotonicTime now) const {
+  std::optional<MonotonicTime> first;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const MonotonicTime until = UnavailableUntil(endpoint);
+    if (until <= now || !IsUsable(endpoint, requirements)) continue;
+    first = first ? std::min(*first, until) : until;
+  }
+  return first;
+}
+
 double EndpointPool::TotalPending(const PooledEndpoint& endpoint, MonotonicTime now) {
   double pending = static_cast<double>(endpoint.pending_work);
   for (const auto& [entry, report] : endpoint.pending_elsewhere) {
@@ -181,6 +196,7 @@
       std::max(1U, ColdShare(cold_limit, ranking_.size(), ranking_.size()));
   std::vector<PooledEndpoint*> usable;
   for (auto& [id, endpoint] : endpoints_) {
+    if (UnavailableUntil(endpoint) > now) continue;
     if (IsUsable(endpoint, requirements)) usable.push_back(&endpoint);
   }
   SelectSubset(usable, requirements);
@@ -232,6 +248,10 @@
 }
 
 void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
+  if (report.retry_after) {
+    statements_.SetUnavailableUntil(report.endpoint, report.started, now + *report.retry_after,
+                                    now);
+  }
   PooledEndpoint* endpoint = FindCurrent(report.endpoint, report.started);
   if (endpoint == nullptr) return;
   endpoint->pending_work -= std::min(endpoint->pending_work, report.work.value());
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -83,6 +83,10 @@
   /// Chooses an endpoint for one attempt; returns null when none is usable.
   PooledEndpoint* Choose(const EndpointRequirements& requirements, Random& random,
                          MonotonicTime now);
+  /// When the first of the endpoints that have asked for a pause takes requests again; empty when
+  /// none of those that meet the requirements has.
+  std::optional<MonotonicTime> FirstAvailableAt(const EndpointRequirements& requirements,
+                                                MonotonicTime now) const;
   void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
   /// Records that an answer of the endpoint states that it drains. It is not chosen again in this
@@ -121,7 +125,10 @@
  private:
   /// Requests per second that this entry may send to the endpoint while it is cold.
   std::uint32_t ColdShareOf(const PooledEndpoint& endpoint, const ColdRateLimit& limit) const;
+  /// Whether the endpoint meets the requirements, and neither drains nor is evacuated.
   bool IsUsable(const PooledEndpoint& endpoint, const EndpointRequirements& requirements) const;
+  /// Time until which the endpoint has asked not to be sent requests.
+  MonotonicTime UnavailableUntil(const PooledEndpoint& endpoint) const;
   static double TotalPending(const PooledEndpoint& endpoint, MonotonicTime now);
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -376,7 +376,7 @@
   draining_ = head.draining && !head.wrong_endpoint;
   if (draining_) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
-                  plan.work, head.load, draining_});
+                  plan.work, head.load, draining_, head.retry_after});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -115,10 +115,15 @@
 }
 
 PlanAnswer RouteState::Refuse(const PlanQuery& query, ResultCode code, std::string detail) const {
+  return Refuse(query, code, std::move(detail), RetryAfter(code));
+}
+
+PlanAnswer RouteState::Refuse(const PlanQuery& query, ResultCode code, std::string detail,
+                              Duration retry_after) const {
   log_.Write(Event::kRequestRefusedByRouter, RequestId(query.request->metadata.attempt.value()),
              fmt::format("code={} reason={} why='{}' {}", Name(code), Name(query.reason), detail,
                          ConfigSummary()));
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter(code));
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(retry_after);
   return {std::nullopt, Failure{code, std::move(detail), RunState::kNotRun, wait}, nullptr,
           nullptr};
 }
@@ -254,6 +259,21 @@
   return ChooseRolloutVersion(query, progress, *order);
 }
 
+PlanAnswer RouteState::RefuseWithoutEndpoint(const PlanQuery& query,
+                                             const RequestProgress& progress,
+                                             const EndpointRequirements& requirements) const {
+  const MonotonicTime now = clock_.Now();
+  const std::string& service = progress.service->id.value();
+  if (const auto available_at = pool_.FirstAvailableAt(requirements, now)) {
+    return Refuse(query, ResultCode::kEndpointAtLimit,
+                  fmt::format("endpoints have asked for a pause, service={}", service),
+                  std::max<Duration>(*available_at - now, kRetryNoEndpoint));
+  }
+  return Refuse(
+      query, ResultCode::kNoEndpoint,
+      fmt::format("no usable endpoint, service={} tried={}", service, progress.tried.size()));
+}
+
 PlanAnswer RouteState::ChooseAttempt(const PlanQuery& query, RequestProgress progress) {
   const MonotonicTime now = clock_.Now();
   const CallerRequest& request = *query.request;
@@ -273,9 +293,7 @@
     endpoint = pool_.Choose(requirements, random_, now);
   }
   if (endpoint == nullptr) {
-    PlanAnswer refused = Refuse(query, ResultCode::kNoEndpoint,
-                                fmt::format("no usable endpoint, service={} tried={}",
-                                            progress.service->id.value(), progress.tried.size()));
+    PlanAnswer refused = RefuseWithoutEndpoint(query, progress, requirements);
     refused.route = progress.route;
     refused.table = progress.table;
     return refused;
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -72,6 +72,11 @@
   };
 
   PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail) const;
+  PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail,
+                    Duration retry_after) const;
+  /// Refuses a request for which no endpoint can be chosen.
+  PlanAnswer RefuseWithoutEndpoint(const PlanQuery& query, const RequestProgress& progress,
+                                   const EndpointRequirements& requirements) const;
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
   PlanAnswer ChooseAttempt(const PlanQuery& query, RequestProgress progress);
   VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
--- a/src/bamboodock/policy/endpoint_statements.h
+++ b/src/bamboodock/policy/endpoint_statements.h
@@ -15,7 +15,8 @@
 /// A statement belongs to one lifetime of an endpoint, given by its id and start time. It outlives
 /// the registration, which may expire and return during an outage of the store.
 ///
-/// Load pattern: endpoints that drain while this entry cannot read their registrations.
+/// Load pattern: endpoints that drain while this entry cannot read their registrations, and
+/// endpoints that are full and ask their callers to stay away for some time.
 class EndpointStatements {
  public:
   /// Statements are kept for at most this many lifetimes; the oldest are dropped first.
@@ -33,11 +34,24 @@
     return found != statements_.end() && found->second.draining;
   }
 
+  /// Records that the endpoint wants no requests until `until`. A later statement replaces it.
+  void SetUnavailableUntil(const EndpointId& id, StartTime started, MonotonicTime until,
+                           MonotonicTime now) {
+    FindOrAdd(id, started, now).unavailable_until = until;
+  }
+
+  /// Time until which the endpoint wants no requests; in the past when it takes them.
+  MonotonicTime UnavailableUntil(const EndpointId& id, StartTime started) const {
+    const auto found = statements_.find({id, started});
+    return found == statements_.end() ? MonotonicTime() : found->second.unavailable_until;
+  }
+
  private:
   using Lifetime = std::pair<EndpointId, StartTime>;
   struct Statement {
     MonotonicTime first_at{};
     bool draining = false;
+    MonotonicTime unavailable_until{};
   };
 
   Statement& FindOrAdd(const EndpointId& id, StartTime started, MonotonicTime now) {
--- a/src/bamboodock/routing/answer_head.h
+++ b/src/bamboodock/routing/answer_head.h
@@ -38,6 +38,8 @@
   std::optional<ReportedLoad> load;
   /// Whether the endpoint states that it drains.
   bool draining = false;
+  /// How long the endpoint wants no further requests from this host.
+  std::optional<Duration> retry_after;
 
   bool IsSuccess() const { return status >= 200 && status < 300; }
 };
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -102,6 +102,8 @@
   std::optional<ReportedLoad> load;
   /// Whether the endpoint states that it drains.
   bool draining = false;
+  /// How long the endpoint wants no further requests from this host.
+  std::optional<Duration> retry_after;
 };
 
 /// Outcome of one attempt, for the load estimate and the rollout evidence about versions.
--- a/test/command/router/endpoint_statements_test.cc
+++ b/test/command/router/endpoint_statements_test.cc
@@ -38,6 +38,8 @@
   CPPUNIT_TEST_SUITE(EndpointStatementsTest);
   CPPUNIT_TEST(DrainingEndpointGetsNoRequestsWhileTheStoreIsSilent);
   CPPUNIT_TEST(AnotherEndpointDoesNotSpeakForThePlannedOne);
+  CPPUNIT_TEST(EndpointThatAsksToWaitGetsNoRequestsUntilThen);
+  CPPUNIT_TEST(CallerIsToldWhenTheFirstEndpointTakesRequestsAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,6 +69,35 @@
     CPPUNIT_ASSERT(router.log().Text().find("endpoint_draining") == std::string::npos);
   }
 
+  // Guards against requests to an endpoint that has answered 503 and asked not to be sent any for
+  // some time.
+  void EndpointThatAsksToWaitGetsNoRequestsUntilThen() {
+    ScriptedServer full([](const Request& request, std::size_t number) {
+      if (number > 0) return MakeAnswer(request, "200 OK", "");
+      return MakeAnswer(request, "503 Full", "X-Bamboodock-Not-Executed: 1\r\nRetry-After: 2\r\n");
+    });
+    ScriptedServer ready(Answering("200 OK", ""));
+    LoopbackRouter router(MakeRoute());
+    router.Register("e1", full.address());
+    router.Register("e2", ready.address());
+    const auto begin = std::chrono::steady_clock::now();
+    while (full.requests().size() < 2) SendAll(router);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin >= std::chrono::seconds(2));
+  }
+
+  // Guards against callers that wait for endpoints, or return to them, before any takes requests.
+  void CallerIsToldWhenTheFirstEndpointTakesRequestsAgain() {
+    ScriptedServer full(
+        Answering("503 Full", "X-Bamboodock-Not-Executed: 1\r\nRetry-After: 60\r\n"));
+    LoopbackRouter router(MakeRoute());
+    router.Register("e1", full.address());
+    router.Request("a1");
+    const std::string answer = router.Request("a2");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(router.log().Text(), std::size_t{1}, full.requests().size());
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.find("Retry-After: 59.") != std::string::npos);
+  }
+
  private:
   static void SendAll(LoopbackRouter& router) {
     for (int i = 0; i < kRequests; ++i) {
--- a/test/platform/http_wire_protocol_test.cc
+++ b/test/platform/http_wire_protocol_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(AttemptNamesEndpointAndAccount);
   CPPUNIT_TEST(AnswerToAnotherRequestIsDetected);
   CPPUNIT_TEST(NotExecutedAndWrongEndpointAreDetected);
+  CPPUNIT_TEST(RetryAfterCountsForStatus503Only);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,6 +121,21 @@
     CPPUNIT_ASSERT(!protocol.DecodeAnswer(503, {}, AttemptId("a")).not_run);
   }
 
+  // Guards against an endpoint that is left out because of a malformed or endless Retry-After.
+  void RetryAfterCountsForStatus503Only() {
+    const auto retry_after = [](int status, const std::string& value) {
+      return HttpWireProtocol()
+          .DecodeAnswer(status, {{"Retry-After", value}}, AttemptId("a"))
+          .retry_after;
+    };
+    CPPUNIT_ASSERT(retry_after(503, "1.5") == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT(retry_after(503, "1e12") == std::chrono::hours(1));
+    for (const char* value : {"", "-1", "nan", "soon", "Fri, 04 Dec 2026 23:45:13 GMT"}) {
+      CPPUNIT_ASSERT_MESSAGE(value, !retry_after(503, value));
+    }
+    CPPUNIT_ASSERT(!retry_after(429, "1"));
+  }
+
  private:
   static CallerRequest Read(const std::vector<HttpHeader>& headers) {
     CallerRequest request;
