Log the prompt parts of answers that are lost before they are under way

Cause: the logs cannot tell whether what crashes endpoints is in the requests (hypothesis 1), comes from cold endpoints (2) or from the repeats of a few requests (3). Change: 727 answer_lost_early names the endpoint's lifetime, the route, how far the answer had come and the parts of the prompt; 717 shows the number of events; bamboodock_answers_lost_early_total counts. A connection that is lost is told apart from bytes that are not HTTP (CallStatus::kInvalid). What one attempt shows moves from RequestExchange to AttemptRecord. No decision changes.

--- /dev/null
+++ b/src/bamboodock/command/router/attempt_record.cc
@@ -0,0 +1,25 @@
+#include "bamboodock/command/router/attempt_record.h"
+
+namespace bamboodock {
+
+AttemptReport AttemptRecord::MakeReport(const AttemptPlan& plan, const RequestMetadata& request,
+                                        AttemptOutcome outcome) const {
+  AttemptReport report;
+  report.endpoint = plan.endpoint;
+  report.started = plan.started;
+  report.service = plan.progress.service->id;
+  report.route = plan.progress.route->id;
+  report.version = plan.version;
+  report.outcome = outcome;
+  report.head_latency = head_latency;
+  report.event_interval = event_interval.Interval();
+  report.max_output_tokens = request.max_output_tokens;
+  report.sent = sent;
+  report.repeat = plan.repeat;
+  report.work = plan.work;
+  report.prompt_tokens = request.prompt_tokens;
+  report.model = plan.model.empty() ? request.model : plan.model;
+  return report;
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/command/router/attempt_record.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <optional>
+
+#include "bamboodock/core/units.h"
+#include "bamboodock/policy/mean_event_interval.h"
+#include "bamboodock/routing/attempt_plan.h"
+
+namespace bamboodock {
+
+/// What one attempt of a request has shown so far.
+struct AttemptRecord {
+  /// An answer of which this many events have arrived is under way: the endpoint has processed the
+  /// prompt and writes the answer.
+  static constexpr std::uint64_t kEventsUnderWay = 4;
+
+  explicit AttemptRecord(MonotonicTime now) : started(now) {}
+
+  /// When the attempt began, and from `sent` on when the request was sent.
+  MonotonicTime started;
+  /// Whether the endpoint may have received the request.
+  bool sent = false;
+  /// Time from the plan until the request was sent; empty when it was not sent.
+  std::optional<Duration> connect_time;
+  std::optional<Duration> head_latency;
+  /// Complete events that have arrived.
+  std::uint64_t events = 0;
+  MeanEventInterval event_interval;
+  /// Whether the answer states that its endpoint drains.
+  bool draining = false;
+  /// Whether the connection was lost before the end of the answer.
+  bool connection_lost = false;
+
+  void OnSent(MonotonicTime now) {
+    connect_time = now - started;
+    started = now;
+    sent = true;
+  }
+  void OnEvents(std::uint64_t count, MonotonicTime now) {
+    events += count;
+    event_interval.Add(count, now);
+  }
+  /// Whether the answer was lost before it was under way.
+  bool IsLostEarly() const { return sent && connection_lost && events < kEventsUnderWay; }
+
+  /// Report of the attempt. `stream_events` is left to the caller.
+  AttemptReport MakeReport(const AttemptPlan& plan, const RequestMetadata& request,
+                           AttemptOutcome outcome) const;
+};
+
+}  // namespace bamboodock
--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -37,6 +37,14 @@
          error == http::error::buffer_overflow;
 }
 
+/// Whether the error is about the bytes received, not about the connection.
+bool IsInvalidHttp(const SocketError& error) {
+  static const boost::system::error_category& http_category =
+      make_error_code(http::error::bad_version).category();
+  return error.category() == http_category && error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
 }  // namespace
 
 EndpointCall::EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits)
@@ -46,6 +54,7 @@
   if (cancelled_) return CallStatus::kCancelled;
   if (error == beast::error::timeout) return CallStatus::kSilent;
   if (IsLimitError(error)) return CallStatus::kTooLarge;
+  if (IsInvalidHttp(error)) return CallStatus::kInvalid;
   return CallStatus::kBroken;
 }
 
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -21,8 +21,10 @@
   kEnd,
   /// No connection could be opened; nothing was sent.
   kUnreachable,
-  /// The connection failed or the bytes received are not valid HTTP.
+  /// The connection was lost, or closed before the answer was complete.
   kBroken,
+  /// The bytes received are not valid HTTP.
+  kInvalid,
   /// Nothing arrived within the timeout.
   kSilent,
   /// The answer exceeds one of `AnswerLimits`.
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -62,7 +62,8 @@
       executor_(std::move(executor)),
       writer_(writer),
       request_(std::move(request)),
-      deadline_(RequestDeadline(*request_, nullptr)) {
+      deadline_(RequestDeadline(*request_, nullptr)),
+      attempt_(request_->arrived) {
   events_.set_last_id(request_->metadata.last_event);
 }
 
@@ -112,33 +113,42 @@
 
 void RequestExchange::Report(const AttemptPlan& plan, AttemptOutcome outcome,
                              std::string_view detail) {
-  AttemptReport report;
-  report.endpoint = plan.endpoint;
-  report.started = plan.started;
-  report.service = plan.progress.service->id;
-  report.route = plan.progress.route->id;
-  report.version = plan.version;
-  report.outcome = outcome;
-  report.head_latency = head_latency_;
-  report.event_interval = event_interval_.Interval();
-  report.max_output_tokens = request_->metadata.max_output_tokens;
-  report.sent = sent_;
-  report.repeat = plan.repeat;
+  AttemptReport report = attempt_.MakeReport(plan, request_->metadata, outcome);
   const bool whole_stream = outcome == AttemptOutcome::kSuccess && IsStreamRoute() &&
                             !request_->metadata.last_event.has_value();
   if (whole_stream) report.stream_events = events_.taken();
-  report.work = plan.work;
-  report.prompt_tokens = request_->metadata.prompt_tokens;
-  report.model = plan.model.empty() ? request_->metadata.model : plan.model;
+  const RequestId id(request_->metadata.attempt.value());
   services_.log.Write(
-      Event::kAttemptEnded, RequestId(request_->metadata.attempt.value()),
-      fmt::format(
-          "endpoint={} outcome={} connect_ms={} head_ms={} event_ms={} draining={} note='{}'",
-          plan.endpoint.value(), Name(outcome), MillisOrNone(connect_time_),
-          MillisOrNone(head_latency_), MillisOrNone(report.event_interval), draining_, detail));
+      Event::kAttemptEnded, id,
+      fmt::format("endpoint={} outcome={} connect_ms={} head_ms={} events={} event_ms={} "
+                  "draining={} note='{}'",
+                  plan.endpoint.value(), Name(outcome), MillisOrNone(attempt_.connect_time),
+                  MillisOrNone(attempt_.head_latency), attempt_.events,
+                  MillisOrNone(report.event_interval), attempt_.draining, detail));
+  LogLostPrompt(plan);
   Post(std::move(report));
 }
 
+void RequestExchange::ReportFailed(const AttemptPlan& plan, CallStatus status,
+                                   std::string_view detail) {
+  CountOverLimit(status);
+  attempt_.connection_lost = status == CallStatus::kBroken;
+  Report(plan, OutcomeOf(status), detail);
+}
+
+void RequestExchange::LogLostPrompt(const AttemptPlan& plan) {
+  const std::vector<PromptPart>& parts = request_->metadata.prompt_parts;
+  if (!attempt_.IsLostEarly() || parts.empty()) return;
+  ++services_.counters.answers_lost_early;
+  std::string ids;
+  for (const PromptPart& part : parts) ids += (ids.empty() ? "" : ",") + part.id.value();
+  services_.log.Write(
+      Event::kAnswerLostEarly, RequestId(request_->metadata.attempt.value()),
+      fmt::format("endpoint={} started={} route={} head={} events={} parts={}",
+                  plan.endpoint.value(), plan.started.value(), plan.progress.route->id.value(),
+                  attempt_.head_latency.has_value(), attempt_.events, ids));
+}
+
 void RequestExchange::Post(RouteCommand report) {
   if (services_.post(std::move(report))) return;
   services_.log.Write(Event::kRequestBroken, RequestId(request_->metadata.attempt.value()),
@@ -212,17 +222,8 @@
   if (status == CallStatus::kTooLarge) ++services_.counters.answers_over_limit;
 }
 
-void RequestExchange::ResetAttempt() {
-  attempt_started_ = services_.clock.Now();
-  connect_time_.reset();
-  head_latency_.reset();
-  sent_ = false;
-  draining_ = false;
-  event_interval_ = {};
-}
-
 void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
-  ResetAttempt();
+  attempt_ = AttemptRecord(services_.clock.Now());
   Report(plan, AttemptOutcome::kCancelled, "request ended before the attempt was sent");
 }
 
@@ -275,7 +276,7 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::RunAttempt(AttemptPlan plan) {
   progress_ = plan.progress;
   SetDeadline(*progress_.route);
-  ResetAttempt();
+  attempt_ = AttemptRecord(services_.clock.Now());
   if (TimeLeft() <= Duration::zero()) {
     Report(plan, AttemptOutcome::kCancelled, "deadline exceeded before the request was sent");
     const bool reusable = co_await RefuseExpired();
@@ -306,12 +307,9 @@
   forward.time_left = std::max<Duration>(TimeLeft(), std::chrono::milliseconds(1));
   forward.engine_priority = plan.engine_priority;
   forward.last_event = events_.last_id();
-  const MonotonicTime sent_at = services_.clock.Now();
-  connect_time_ = sent_at - attempt_started_;
-  attempt_started_ = sent_at;
+  attempt_.OnSent(services_.clock.Now());
   ++runs_;
   ++progress_.sent;
-  sent_ = true;
   std::vector<HttpHeader> added = services_.protocol.AttemptHeaders(*request_, forward);
   call_->Send(request_, std::move(added));
   const Duration soft_timeout =
@@ -358,9 +356,9 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::OnNoHead(const AttemptPlan& plan,
                                                                    CallStatus status) {
   call_->Cancel();
-  CountOverLimit(status);
-  Report(plan, OutcomeOf(status),
-         status == CallStatus::kTooLarge ? "answer head over the size limit" : "no answer head");
+  ReportFailed(
+      plan, status,
+      status == CallStatus::kTooLarge ? "answer head over the size limit" : "no answer head");
   const PlanReason reason = writer_.begun() ? PlanReason::kResume : PlanReason::kFailed;
   const ResultCode code =
       status == CallStatus::kSilent ? ResultCode::kConnectionSilent : ResultCode::kOutcomeUnknown;
@@ -371,12 +369,12 @@
                                                                  const CallHead& received) {
   AnswerHead head =
       services_.protocol.DecodeAnswer(received.code, received.headers, request_->metadata.attempt);
-  head_latency_ = services_.clock.Now() - attempt_started_;
+  attempt_.head_latency = services_.clock.Now() - attempt_.started;
   // Another endpoint speaks for itself, not for the one that was planned.
-  draining_ = head.draining && !head.wrong_endpoint;
-  if (draining_) ++services_.counters.answers_draining;
+  attempt_.draining = head.draining && !head.wrong_endpoint;
+  if (attempt_.draining) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
-                  plan.work, head.load, draining_, head.retry_after});
+                  plan.work, head.load, attempt_.draining, head.retry_after});
   if (head.not_run) {
     --runs_;
     ++not_run_;
@@ -444,9 +442,8 @@
   std::string body;
   const CallStatus status = co_await ReadFullBody(body);
   call_->Cancel();
-  CountOverLimit(status);
   if (status != CallStatus::kOk) {
-    Report(plan, OutcomeOf(status), "answer body incomplete or over the size limit");
+    ReportFailed(plan, status, "answer body incomplete or over the size limit");
     co_return co_await RetryOrFail(PlanReason::kFailed, ResultCode::kAnswerIncomplete);
   }
   Report(plan, AttemptOutcome::kSuccess, fmt::format("status {}", head.status));
@@ -497,8 +494,8 @@
   while (true) {
     const Duration left = TimeLeft();
     if (left <= Duration::zero()) co_return CallStatus::kSilent;
-    const Duration idle_timeout = StreamIdleTimeout(timeouts_, *progress_.route,
-                                                    event_interval_.Interval(), left, !CanRetry());
+    const Duration idle_timeout = StreamIdleTimeout(
+        timeouts_, *progress_.route, attempt_.event_interval.Interval(), left, !CanRetry());
     const Duration idle = services_.clock.Now() - idle_since;
     const CallStatus waited = co_await AwaitBytes(idle_timeout - idle);
     if (waited != CallStatus::kOk) co_return waited;
@@ -510,7 +507,7 @@
     std::string events = events_.Take();
     if (events_.partial_size() > services_.answer_limits.event) co_return CallStatus::kTooLarge;
     if (!events.empty()) idle_since = services_.clock.Now();
-    event_interval_.Add(events_.taken() - before, services_.clock.Now());
+    attempt_.OnEvents(events_.taken() - before, services_.clock.Now());
     bool sent = true;
     if (!events.empty()) {
       sent = co_await writer_.Write(std::move(events));
@@ -535,10 +532,12 @@
     co_return Action::Finished(sent && writer_.keep_alive());
   }
   ++services_.counters.resumes;
-  CountOverLimit(status);
-  if (planned_) co_return SwitchToPlanned(plan, "no stream event within the soft timeout");
-  Report(plan, caller_closed_ ? AttemptOutcome::kCancelled : OutcomeOf(status),
-         "stream ended before it was complete");
+  if (planned_) {
+    CountOverLimit(status);
+    co_return SwitchToPlanned(plan, "no stream event within the soft timeout");
+  }
+  ReportFailed(plan, caller_closed_ ? CallStatus::kCancelled : status,
+               "stream ended before it was complete");
   co_return co_await RetryOrFail(PlanReason::kResume, ResultCode::kAnswerIncomplete);
 }
 
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -5,11 +5,11 @@
 
 #include "bamboodock/codec/event_splitter.h"
 #include "bamboodock/command/router/answer_writer.h"
+#include "bamboodock/command/router/attempt_record.h"
 #include "bamboodock/command/router/endpoint_call.h"
 #include "bamboodock/command/router/network_services.h"
 #include "bamboodock/command/router/pending_plan.h"
 #include "bamboodock/policy/attempt_timeouts.h"
-#include "bamboodock/policy/mean_event_interval.h"
 
 namespace bamboodock {
 
@@ -88,11 +88,13 @@
   void SetDeadline(const Route& route);
   /// Counts an answer that was given up because of its size.
   void CountOverLimit(CallStatus status);
-  /// Forgets what is known of the previous attempt.
-  void ResetAttempt();
   /// Reports an attempt that was planned and will not be sent.
   void ReleaseUnsent(const AttemptPlan& plan);
   void Report(const AttemptPlan& plan, AttemptOutcome outcome, std::string_view detail);
+  /// Reports an attempt that ended with this status.
+  void ReportFailed(const AttemptPlan& plan, CallStatus status, std::string_view detail);
+  /// Logs the parts of the prompt when the answer was lost before it was under way.
+  void LogLostPrompt(const AttemptPlan& plan);
   void Post(RouteCommand report);
   void LogEnd(Event event, int status, std::string_view detail);
 
@@ -114,15 +116,7 @@
   std::uint32_t runs_ = 0;
   /// Attempts whose request certainly did not run.
   std::uint32_t not_run_ = 0;
-  MonotonicTime attempt_started_{};
-  /// Whether the endpoint of the current attempt may have received the request.
-  bool sent_ = false;
-  /// Whether the answer of the current attempt states that its endpoint drains.
-  bool draining_ = false;
-  /// Time from the plan until the request was sent; empty when it was not sent.
-  std::optional<Duration> connect_time_;
-  std::optional<Duration> head_latency_;
-  MeanEventInterval event_interval_;
+  AttemptRecord attempt_;
   /// Attempt that replaces one without an answer.
   std::optional<AttemptPlan> planned_;
   /// Last error answer of an endpoint, delivered if no other endpoint succeeds.
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -83,6 +83,7 @@
     EventName{Event::kPeerHeard, "peer_heard"},
     EventName{Event::kRolloutShareChanged, "rollout_share_changed"},
     EventName{Event::kEndpointDraining, "endpoint_draining"},
+    EventName{Event::kAnswerLostEarly, "answer_lost_early"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -86,6 +86,7 @@
   kPeerHeard = 724,
   kRolloutShareChanged = 725,
   kEndpointDraining = 726,
+  kAnswerLostEarly = 727,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -27,6 +27,8 @@
     CounterRow{"bamboodock_resumes_total", "counter", &RouterCounters::resumes},
     CounterRow{"bamboodock_answers_over_limit_total", "counter",
                &RouterCounters::answers_over_limit},
+    CounterRow{"bamboodock_answers_lost_early_total", "counter",
+               &RouterCounters::answers_lost_early},
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
