Add the decision which prompt part crashes endpoints

Cause: endpoints are blamed for crashes, requests never are (crashing-prompt-part). Change: PromptQuarantine in policy/, not used yet. All parts of an answer that is lost before it is under way are suspects; an answer that is under way clears them; the part that explains most of the remaining crashes is quarantined, and what it explains no longer counts against others (greedy set cover). Evidence is a set that entries can merge in any order; memory and reports are bounded. A quarantined part is probed after 30 s, doubling, by one entry at a time. EntryRanking ranks any key.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -64,7 +64,7 @@
 std::uint32_t EndpointPool::ColdShareOf(const PooledEndpoint& endpoint,
                                         const ColdRateLimit& limit) const {
   if (!ranking_.known()) return 0;
-  return ColdShare(limit, ranking_.size(), ranking_.Rank(endpoint.record.id));
+  return ColdShare(limit, ranking_.size(), ranking_.Rank(endpoint.record.id.value()));
 }
 
 void EndpointPool::Upsert(const EndpointRecord& record, Duration cold_time, MonotonicTime now) {
--- a/src/bamboodock/policy/fwd.h
+++ b/src/bamboodock/policy/fwd.h
@@ -15,6 +15,7 @@
 class FreshnessRule;
 class LeaseRule;
 class MeanTokenProbability;
+class PromptQuarantine;
 class PublicationRule;
 class QualityEstimate;
 class QualityTable;
--- a/test/policy/entry_ranking_test.cc
+++ b/test/policy/entry_ranking_test.cc
@@ -34,7 +34,7 @@
   void EachEntryHasADistinctRank() {
     std::set<std::uint32_t> ranks;
     for (std::size_t self = 0; self < 29; ++self) {
-      ranks.insert(RankingOf(self, 29).Rank(EndpointId("e1")));
+      ranks.insert(RankingOf(self, 29).Rank("e1"));
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{29}, ranks.size());
     CPPUNIT_ASSERT_EQUAL(28U, *ranks.rbegin());
@@ -44,7 +44,7 @@
   void RanksDifferBetweenEndpoints() {
     const EntryRanking ranking = RankingOf(3, 29);
     std::set<std::uint32_t> ranks;
-    for (int i = 0; i < 50; ++i) ranks.insert(ranking.Rank(EndpointId("e" + std::to_string(i))));
+    for (int i = 0; i < 50; ++i) ranks.insert(ranking.Rank("e" + std::to_string(i)));
     CPPUNIT_ASSERT(ranks.size() > 10);
   }
 
