Refuse requests whose prompt part crashes endpoints

Callers saw: notice drafts, and all other answers of the endpoints concerned, cut again and again: requests with one prompt part crashed 35 to 41 endpoints of EMVA in 30 s. Cause: nothing related a crash to what the lost requests have in common, so such requests and their repeats went on to the next endpoint. Class of fault: a request that kills the process that serves it (query of death), multiplied by retries. Change: the network duty reports for each attempt of a prompt whether its answer came under way (four events, or a complete answer with framing), was lost with its connection before that, or was cancelled after its head. PromptGuard feeds PromptQuarantine with these reports and with the evidence of the other entries (a datagram of its own, sent only while there is evidence: each 250 ms for 3 s after a change, else each 2 s), refuses requests with a quarantined part at once (211 prompt_quarantined, 503 with the time until the next probe) and logs 728 to 730. A 715 names the part; the 727 lines with that part are the crashes. Metrics: bamboodock_prompts_refused_total, bamboodock_quarantined_prompt_parts.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "bamboodock/codec/peer_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bamboodock {
@@ -45,6 +46,53 @@
   return evidence;
 }
 
+/// Number of fields of a message with evidence about prompt parts; other messages have more.
+constexpr std::size_t kEvidenceFields = 2;
+/// Upper limit of an age that is accepted.
+constexpr std::int64_t kMaxAgeMs = 86400000;
+
+std::int64_t AgeMs(MonotonicTime at, MonotonicTime now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+}
+
+MonotonicTime FromAge(const Json& age, MonotonicTime now) {
+  return now -
+         std::chrono::milliseconds(std::clamp<std::int64_t>(age.get<std::int64_t>(), 0, kMaxAgeMs));
+}
+
+PromptPartEvidence DecodePart(const Json& json, MonotonicTime now) {
+  PromptPartEvidence part;
+  part.part = PromptPartHash(json.at(0).get<std::uint64_t>());
+  part.position = json.at(1).get<std::uint32_t>();
+  if (!json.at(2).is_null()) part.survived_at = FromAge(json.at(2), now);
+  for (const Json& loss : json.at(3)) {
+    part.losses.push_back({EndpointLifetimeHash(loss.at(0).get<std::uint32_t>()),
+                           RequestHash(loss.at(1).get<std::uint32_t>()), FromAge(loss.at(2), now)});
+  }
+  return part;
+}
+
+PromptEvidenceReport DecodePromptEvidence(const Json& message, MonotonicTime now) {
+  PromptEvidenceReport report{HostId(message.at(0).get<std::string>()), {}};
+  for (const Json& part : message.at(1)) report.parts.push_back(DecodePart(part, now));
+  return report;
+}
+
+PeerReport DecodeReport(const Json& message) {
+  PeerReport report;
+  report.host = HostId(message.at(0).get<std::string>());
+  report.incarnation = IncarnationId(message.at(1).get<std::string>());
+  for (const Json& evidence : message.at(2)) report.rollouts.push_back(DecodeEvidence(evidence));
+  for (const Json& work : message.at(3)) {
+    report.pending.push_back(
+        {EndpointId(work.at(0).get<std::string>()), Tokens(work.at(1).get<std::uint64_t>())});
+  }
+  if (message.size() <= 4) return report;
+  report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
+  report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
+  return report;
+}
+
 }  // namespace
 
 std::string EncodePeerReport(const PeerReport& report) {
@@ -63,21 +111,27 @@
   return bytes;
 }
 
-std::optional<PeerReport> DecodePeerReport(std::string_view bytes) {
+std::string EncodePromptEvidence(const PromptEvidenceReport& report, MonotonicTime now) {
+  Json parts = Json::array();
+  for (const PromptPartEvidence& part : report.parts) {
+    Json losses = Json::array();
+    for (const LostAnswer& loss : part.losses) {
+      losses.push_back(
+          Json::array({loss.endpoint.value(), loss.request.value(), AgeMs(loss.at, now)}));
+    }
+    const Json survived = part.survived_at ? Json(AgeMs(*part.survived_at, now)) : Json();
+    parts.push_back(Json::array({part.part.value(), part.position, survived, losses}));
+  }
+  std::string bytes;
+  Json::to_msgpack(Json::array({report.host.value(), parts}), bytes);
+  return bytes;
+}
+
+std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes, MonotonicTime now) {
   try {
     const Json message = Json::from_msgpack(bytes);
-    PeerReport report;
-    report.host = HostId(message.at(0).get<std::string>());
-    report.incarnation = IncarnationId(message.at(1).get<std::string>());
-    for (const Json& evidence : message.at(2)) report.rollouts.push_back(DecodeEvidence(evidence));
-    for (const Json& work : message.at(3)) {
-      report.pending.push_back(
-          {EndpointId(work.at(0).get<std::string>()), Tokens(work.at(1).get<std::uint64_t>())});
-    }
-    if (message.size() <= 4) return report;
-    report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
-    report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
-    return report;
+    if (message.size() == kEvidenceFields) return DecodePromptEvidence(message, now);
+    return DecodeReport(message);
   } catch (const Json::exception&) {
     // No failure is raised, since any host can send a datagram; the caller logs it.
     return std::nullopt;
--- a/src/bamboodock/codec/peer_codec.h
+++ b/src/bamboodock/codec/peer_codec.h
@@ -8,10 +8,11 @@
 
 namespace bamboodock {
 
-/// Encodes a report as MessagePack for one datagram.
+/// Encodes a report as MessagePack for one datagram. Times are sent as their age at `now`.
 std::string EncodePeerReport(const PeerReport& report);
+std::string EncodePromptEvidence(const PromptEvidenceReport& report, MonotonicTime now);
 
-/// Decodes a report; empty when the bytes are not one.
-std::optional<PeerReport> DecodePeerReport(std::string_view bytes);
+/// Decodes a datagram that arrived at `now`; empty when the bytes are not a message.
+std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes, MonotonicTime now);
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/attempt_record.cc
+++ b/src/bamboodock/command/router/attempt_record.cc
@@ -22,4 +22,12 @@
   return report;
 }
 
+std::optional<PromptFate> AttemptRecord::Fate(AttemptOutcome outcome) const {
+  if (IsUnderWay()) return std::nullopt;
+  if (IsLostEarly()) return PromptFate::kLost;
+  if (outcome == AttemptOutcome::kSuccess && framed_end) return PromptFate::kUnderWay;
+  if (outcome == AttemptOutcome::kCancelled && head_latency) return PromptFate::kAbandoned;
+  return std::nullopt;
+}
+
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/attempt_record.h
+++ b/src/bamboodock/command/router/attempt_record.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/mean_event_interval.h"
 #include "bamboodock/routing/attempt_plan.h"
@@ -30,6 +31,9 @@
   bool draining = false;
   /// Whether the connection was lost before the end of the answer.
   bool connection_lost = false;
+  /// Whether the answer ended as its framing says. One without framing ends with its connection,
+  /// and so does an endpoint that crashes.
+  bool framed_end = false;
 
   void OnSent(MonotonicTime now) {
     connect_time = now - started;
@@ -40,8 +44,11 @@
     events += count;
     event_interval.Add(count, now);
   }
+  bool IsUnderWay() const { return events >= kEventsUnderWay; }
   /// Whether the answer was lost before it was under way.
-  bool IsLostEarly() const { return sent && connection_lost && events < kEventsUnderWay; }
+  bool IsLostEarly() const { return sent && connection_lost && !IsUnderWay(); }
+  /// What the end of the attempt tells about the prompt; empty when it tells nothing new.
+  std::optional<PromptFate> Fate(AttemptOutcome outcome) const;
 
   /// Report of the attempt. `stream_events` is left to the caller.
   AttemptReport MakeReport(const AttemptPlan& plan, const RequestMetadata& request,
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -66,6 +66,8 @@
   asio::awaitable<CallHead> ReadHead(std::chrono::milliseconds timeout);
   /// Reads the available bytes of the body. They may be none if only framing has arrived.
   asio::awaitable<BodyChunk> Read(std::chrono::milliseconds timeout);
+  /// Whether the body has a length or chunks; without them it ends with the connection.
+  bool HasFraming() const { return parser_ && !parser_->need_eof(); }
   /// Closes the connection, on which the endpoint aborts the request.
   void Cancel();
 
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -121,6 +121,7 @@
   std::uint64_t OpenAtOtherVersions(const ServiceId& service, const VersionId& target) const;
   std::size_t size() const { return endpoints_.size(); }
   const PooledEndpoint* Find(const EndpointId& id) const;
+  const EntryRanking& ranking() const { return ranking_; }
 
  private:
   /// Requests per second that this entry may send to the endpoint while it is cold.
--- a/src/bamboodock/command/router/peer_duty.cc
+++ b/src/bamboodock/command/router/peer_duty.cc
@@ -5,14 +5,12 @@
 #include <iterator>
 #include <utility>
 
-#include "bamboodock/codec/peer_codec.h"
-
 namespace bamboodock {
 namespace {
 
 using boost::asio::ip::udp;
 
-/// Datagrams sent per report. With more peers, each gets only some of the reports, so that the
+/// Datagrams sent per message. With more peers, each gets only some of the messages, so that the
 /// number of messages per node does not grow with the size of the deployment.
 constexpr std::size_t kSendsPerReport = 16;
 constexpr std::size_t kInboxCapacity = 64;
@@ -23,9 +21,11 @@
 
 }  // namespace
 
-PeerDuty::PeerDuty(PeerRecord self, std::function<void(PeerReport)> on_report, EventLog& log)
+PeerDuty::PeerDuty(PeerRecord self, std::function<void(PeerMessage)> on_message, const Clock& clock,
+                   EventLog& log)
     : self_(std::move(self)),
-      on_report_(std::move(on_report)),
+      on_message_(std::move(on_message)),
+      clock_(clock),
       log_(log),
       socket_(loop_, ToUdp(self_.gossip)),
       inbox_(loop_, kInboxCapacity, [this](PeerCommand& command) { HandleCommand(command); }) {}
@@ -41,11 +41,7 @@
 }
 
 void PeerDuty::HandleCommand(PeerCommand& command) {
-  if (const auto* report = std::get_if<PeerReport>(&command)) {
-    Send(*report);
-  } else {
-    AddPeers(std::get<std::vector<PeerRecord>>(command));
-  }
+  std::visit([this](const auto& content) { On(content); }, command);
 }
 
 void PeerDuty::AddPeers(const std::vector<PeerRecord>& peers) {
@@ -54,13 +50,12 @@
   }
 }
 
-void PeerDuty::Send(const PeerReport& report) {
+void PeerDuty::Send(const std::string& bytes, std::size_t& last) {
   if (peers_.empty()) return;
-  const std::string bytes = EncodePeerReport(report);
   const std::size_t sends = std::min(peers_.size(), kSendsPerReport);
   for (std::size_t i = 0; i < sends; ++i) {
-    next_peer_ = (next_peer_ + 1) % peers_.size();
-    const auto peer = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(next_peer_));
+    last = (last + 1) % peers_.size();
+    const auto peer = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(last));
     boost::system::error_code error;
     socket_.send_to(boost::asio::buffer(bytes), peer->second, 0, error);
     if (error) {
@@ -80,10 +75,12 @@
 }
 
 void PeerDuty::OnDatagram(std::size_t size) {
-  auto report = DecodePeerReport({datagram_.data(), size});
-  if (report && report->host != self_.host) {
-    on_report_(std::move(*report));
-  } else if (!report) {
+  auto message = DecodePeerMessage({datagram_.data(), size}, clock_.Now());
+  if (message) {
+    const HostId& host =
+        std::visit([](const auto& content) -> const HostId& { return content.host; }, *message);
+    if (host != self_.host) on_message_(std::move(*message));
+  } else {
     log_.Write(Event::kPeerUnreachable, RequestId(),
                "cannot decode datagram from " + sender_.address().to_string());
   }
--- a/src/bamboodock/command/router/peer_duty.h
+++ b/src/bamboodock/command/router/peer_duty.h
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "bamboodock/codec/peer_codec.h"
+#include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/routing/directory_codec.h"
 #include "bamboodock/routing/peer_report.h"
@@ -16,16 +18,17 @@
 
 namespace bamboodock {
 
-/// Command to the peer duty: a report to send, or further entries to send reports to.
-using PeerCommand = std::variant<PeerReport, std::vector<PeerRecord>>;
+/// Command to the peer duty: a message to send, or further entries to send messages to.
+using PeerCommand = std::variant<PeerReport, PromptEvidenceReport, std::vector<PeerRecord>>;
 
-/// Duty that exchanges reports with the other entries over UDP.
+/// Duty that exchanges messages with the other entries over UDP.
 ///
-/// Reports are cumulative, so lost, delayed and duplicated datagrams are harmless.
+/// Messages are cumulative, so lost, delayed and duplicated datagrams are harmless.
 class PeerDuty {
  public:
-  /// @param on_report Called on the duty's thread for each report; must not block.
-  PeerDuty(PeerRecord self, std::function<void(PeerReport)> on_report, EventLog& log);
+  /// @param on_message Called on the duty's thread for each message; must not block.
+  PeerDuty(PeerRecord self, std::function<void(PeerMessage)> on_message, const Clock& clock,
+           EventLog& log);
   ~PeerDuty() { Stop(); }
 
   void Start();
@@ -37,20 +40,29 @@
   static constexpr std::size_t kMaxDatagramSize = 1400;
 
   void HandleCommand(PeerCommand& command);
-  void Send(const PeerReport& report);
+  void On(const PeerReport& report) { Send(EncodePeerReport(report), next_for_reports_); }
+  void On(const PromptEvidenceReport& report) {
+    Send(EncodePromptEvidence(report, clock_.Now()), next_for_evidence_);
+  }
+  void On(const std::vector<PeerRecord>& peers) { AddPeers(peers); }
+  /// Sends the bytes to the peers that follow the one at position `last`, which it advances.
+  void Send(const std::string& bytes, std::size_t& last);
   void AddPeers(const std::vector<PeerRecord>& peers);
   void ReadNext();
   void OnDatagram(std::size_t size);
 
   PeerRecord self_;
-  std::function<void(PeerReport)> on_report_;
+  std::function<void(PeerMessage)> on_message_;
+  const Clock& clock_;
   EventLog& log_;
   boost::asio::io_context loop_{1};
   boost::asio::ip::udp::socket socket_;
   RingInbox<PeerCommand> inbox_;
   std::map<HostId, boost::asio::ip::udp::endpoint> peers_;
-  /// Position of the peer that was sent to last; sends go round robin over the peers.
-  std::size_t next_peer_ = 0;
+  /// Positions of the peers that were sent to last; sends go round robin over the peers. Each kind
+  /// of message has its own, so that all peers get both kinds.
+  std::size_t next_for_reports_ = 0;
+  std::size_t next_for_evidence_ = 0;
   std::array<char, kMaxDatagramSize> datagram_{};
   boost::asio::ip::udp::endpoint sender_;
   std::thread thread_;
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -38,6 +38,9 @@
   // A report that does not fit in the ring is dropped: reports are cumulative, so the next one
   // replaces it.
   static_cast<void>(outputs_.send_report(state_.MakeReport()));
+  if (auto evidence = state_.TakePromptEvidence()) {
+    static_cast<void>(outputs_.send_prompt_evidence(std::move(*evidence)));
+  }
   // If this is dropped, the store duty only polls the store more often.
   static_cast<void>(outputs_.peers_covered_until(state_.peers_covered_until()));
   PublishStatus();
@@ -59,6 +62,7 @@
   status->ready_until = state_.ReadyUntil();
   status->endpoints = state_.endpoint_count();
   status->entries = state_.entries();
+  status->quarantined_prompt_parts = state_.quarantined_prompt_parts();
   status_.Store(std::move(status));
   const bool ready = state_.Ready();
   if (ready == ready_) return;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -16,6 +16,7 @@
   std::function<bool(PlannedAttempt)> planned;
   std::function<bool(const RolloutProgress&)> write_progress;
   std::function<bool(PeerReport)> send_report;
+  std::function<bool(PromptEvidenceReport)> send_prompt_evidence;
   /// Tells the store duty up to which time the other entries have confirmed the configuration.
   std::function<bool(MonotonicTime)> peers_covered_until;
 };
@@ -40,6 +41,8 @@
   }
   void On(HeadReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
+  void On(PromptReport& report) { state_.Apply(report); }
+  void On(PromptEvidenceReport& report) { state_.Apply(report); }
   void PublishStatus();
   void ReportDroppedLines();
 
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -126,6 +126,7 @@
                   MillisOrNone(attempt_.head_latency), attempt_.events,
                   MillisOrNone(report.event_interval), attempt_.draining, detail));
   LogLostPrompt(plan);
+  if (const auto fate = attempt_.Fate(outcome)) ReportPrompt(plan, *fate);
   Post(std::move(report));
 }
 
@@ -149,6 +150,11 @@
                   attempt_.head_latency.has_value(), attempt_.events, ids));
 }
 
+void RequestExchange::ReportPrompt(const AttemptPlan& plan, PromptFate fate) {
+  if (request_->metadata.prompt_parts.size() < 2) return;
+  Post(PromptReport{request_, plan.endpoint, plan.started, fate});
+}
+
 void RequestExchange::Post(RouteCommand report) {
   if (services_.post(std::move(report))) return;
   services_.log.Write(Event::kRequestBroken, RequestId(request_->metadata.attempt.value()),
@@ -246,6 +252,7 @@
     failure.retry_after = {};
   }
   ++services_.counters.refused;
+  if (failure.code == ResultCode::kPromptQuarantined) ++services_.counters.prompts_refused;
   LogEnd(Event::kRequestAnswered, HttpStatus(failure.code), Name(failure.code));
   const bool sent = co_await writer_.SendRefusal(std::move(failure));
   co_return sent&& writer_.keep_alive();
@@ -446,6 +453,7 @@
     ReportFailed(plan, status, "answer body incomplete or over the size limit");
     co_return co_await RetryOrFail(PlanReason::kFailed, ResultCode::kAnswerIncomplete);
   }
+  attempt_.framed_end = call_->HasFraming();
   Report(plan, AttemptOutcome::kSuccess, fmt::format("status {}", head.status));
   if (caller_closed_) co_return Action::Retry(PlanReason::kFailed);
   ++services_.counters.answered;
@@ -482,11 +490,11 @@
     const bool sent = co_await writer_.Begin(std::move(head));
     if (!sent) OnCallerClosed();
   }
-  const CallStatus status = co_await RelayEvents();
+  const CallStatus status = co_await RelayEvents(plan);
   co_return co_await EndStream(plan, status);
 }
 
-asio::awaitable<CallStatus> RequestExchange::RelayEvents() {
+asio::awaitable<CallStatus> RequestExchange::RelayEvents(const AttemptPlan& plan) {
   events_.DropPartial();
   // Bytes that complete no event do not count as progress: a stalled endpoint may send some now and
   // then.
@@ -507,7 +515,9 @@
     std::string events = events_.Take();
     if (events_.partial_size() > services_.answer_limits.event) co_return CallStatus::kTooLarge;
     if (!events.empty()) idle_since = services_.clock.Now();
+    const bool was_under_way = attempt_.IsUnderWay();
     attempt_.OnEvents(events_.taken() - before, services_.clock.Now());
+    if (!was_under_way && attempt_.IsUnderWay()) ReportPrompt(plan, PromptFate::kUnderWay);
     bool sent = true;
     if (!events.empty()) {
       sent = co_await writer_.Write(std::move(events));
@@ -525,6 +535,7 @@
                                                                     CallStatus status) {
   call_->Cancel();
   if (status == CallStatus::kEnd) {
+    attempt_.framed_end = call_->HasFraming();
     Report(plan, AttemptOutcome::kSuccess, "stream complete");
     ++services_.counters.answered;
     LogEnd(Event::kRequestAnswered, 200, "stream complete");
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -70,7 +70,7 @@
   /// is possible.
   asio::awaitable<std::optional<AttemptPlan>> PlanLargerModel(const AttemptPlan& plan,
                                                               const AnswerHead& head);
-  asio::awaitable<CallStatus> RelayEvents();
+  asio::awaitable<CallStatus> RelayEvents(const AttemptPlan& plan);
   asio::awaitable<Action> EndStream(const AttemptPlan& plan, CallStatus status);
   /// Reads the rest of the body into memory, up to its size limit.
   asio::awaitable<CallStatus> ReadFullBody(std::string& body);
@@ -95,6 +95,8 @@
   void ReportFailed(const AttemptPlan& plan, CallStatus status, std::string_view detail);
   /// Logs the parts of the prompt when the answer was lost before it was under way.
   void LogLostPrompt(const AttemptPlan& plan);
+  /// Reports what became of the prompt, if it has parts that other requests may share.
+  void ReportPrompt(const AttemptPlan& plan, PromptFate fate);
   void Post(RouteCommand report);
   void LogEnd(Event event, int status, std::string_view detail);
 
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -63,7 +63,25 @@
   std::vector<RolloutProgress> rollouts;
 };
 
-using RouteCommand = std::variant<PlanQuery, HeadReport, AttemptReport, OperatorDelta,
-                                  EndpointDelta, RouterDelta, PeerReport>;
+/// How far the answer to a prompt has come.
+enum class PromptFate : std::uint8_t {
+  /// The endpoint has processed the prompt and writes the answer.
+  kUnderWay,
+  /// The connection was lost before that.
+  kLost,
+  /// The router cancelled the attempt after the head of the answer and before that.
+  kAbandoned,
+};
+
+/// Reports what became of one attempt of a request with a prompt.
+struct PromptReport {
+  Ref<const CallerRequest> request;
+  EndpointId endpoint;
+  StartTime started;
+  PromptFate fate = PromptFate::kUnderWay;
+};
+
+using RouteCommand = std::variant<PlanQuery, HeadReport, AttemptReport, PromptReport, OperatorDelta,
+                                  EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -97,7 +97,8 @@
       rollouts_(limits.exposure, log),
       sessions_(limits.session_timeout),
       peers_(identity_.host),
-      escalation_(limits.least_confidence) {}
+      escalation_(limits.least_confidence),
+      prompts_(identity_.host, log) {}
 
 Duration RouteState::ConfigAge() const { return clock_.Now() - config_covered_until_; }
 
@@ -139,6 +140,13 @@
     return Refuse(query, ResultCode::kOverloaded,
                   "confidence of the smaller model suffices at this load and time left");
   }
+  if (const auto refusal = prompts_.Check(*query.request, pool_.ranking(), clock_.Now())) {
+    PlanAnswer refused =
+        Refuse(query, ResultCode::kPromptQuarantined, refusal->detail, refusal->retry_after);
+    refused.route = progress.route;
+    refused.table = progress.table;
+    return refused;
+  }
   return ChooseAttempt(query, std::move(progress));
 }
 
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -6,6 +6,7 @@
 
 #include "bamboodock/command/router/endpoint_pool.h"
 #include "bamboodock/command/router/peer_view.h"
+#include "bamboodock/command/router/prompt_guard.h"
 #include "bamboodock/command/router/rollout_controller.h"
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_limits.h"
@@ -39,14 +40,20 @@
   PlanAnswer Plan(const PlanQuery& query);
   void Apply(const HeadReport& report);
   void Apply(const AttemptReport& report);
+  void Apply(const PromptReport& report) { prompts_.Apply(report, clock_.Now()); }
   void Apply(const OperatorDelta& delta);
   void Apply(const EndpointDelta& delta);
   void Apply(const RouterDelta& delta);
   void Apply(const PeerReport& report);
+  void Apply(const PromptEvidenceReport& report) { prompts_.Apply(report, clock_.Now()); }
 
   /// Does periodic work; returns the rollout rows to write to the store.
   std::vector<RolloutProgress> Tick();
   PeerReport MakeReport() const;
+  /// Evidence about prompt parts for the other entries; empty when none is due.
+  std::optional<PromptEvidenceReport> TakePromptEvidence() {
+    return prompts_.TakeReport(clock_.Now());
+  }
 
   /// Whether requests can be routed: a fresh configuration is installed, and endpoints and entries
   /// have been listed.
@@ -61,6 +68,7 @@
   MonotonicTime peers_covered_until() const { return peers_covered_until_; }
   std::uint32_t entries() const { return peers_.EntryCount(); }
   std::size_t endpoint_count() const { return pool_.size(); }
+  std::size_t quarantined_prompt_parts() const { return prompts_.quarantined_count(); }
 
  private:
   struct VersionChoice {
@@ -116,6 +124,7 @@
   PeerView peers_;
   ModelEscalation escalation_;
   StreamPace pace_;
+  PromptGuard prompts_;
   std::map<ServiceId, RepeatBudget> budgets_;
   /// Active version by service when there is no rollout.
   std::map<ServiceId, VersionId> baseline_;
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -22,6 +22,8 @@
   std::atomic<std::uint64_t> answers_over_limit{0};
   /// Answers to prompts that were lost with their connection before they were under way.
   std::atomic<std::uint64_t> answers_lost_early{0};
+  /// Requests refused because a part of their prompt crashes endpoints.
+  std::atomic<std::uint64_t> prompts_refused{0};
   /// Answers that state that their endpoint drains.
   std::atomic<std::uint64_t> answers_draining{0};
   std::atomic<std::uint64_t> open_connections{0};
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -49,6 +49,7 @@
                        return store.Post({progress, std::nullopt, std::nullopt});
                      },
                      [this](PeerReport report) { return peers.Post(std::move(report)); },
+                     [this](PromptEvidenceReport report) { return peers.Post(std::move(report)); },
                      [this](MonotonicTime until) {
                        return store.Post({std::nullopt, std::nullopt, until});
                      }},
@@ -61,12 +62,13 @@
                     [this] { return planning.status(); }}),
         peers(
             {settings.host, settings.gossip},
-            [this](PeerReport report) {
-              // A report that does not fit in the ring is dropped: reports are cumulative, so the
+            [this](PeerMessage message) {
+              // A message that does not fit in the ring is dropped: messages are cumulative, so the
               // next one replaces it.
-              static_cast<void>(planning.Post(std::move(report)));
+              std::visit([this](auto& content) { static_cast<void>(planning.Post(content)); },
+                         message);
             },
-            log),
+            clock, log),
         store(settings.store, {settings.host, settings.gossip}, adapters.directory, adapters.store,
               clock, *this, log),
         metrics(counters, [this] { return planning.status(); }) {}
--- a/src/bamboodock/core/result_code.cc
+++ b/src/bamboodock/core/result_code.cc
@@ -35,6 +35,7 @@
     Row{ResultCode::kOverloaded, "overloaded", 503},
     Row{ResultCode::kHeaderTooLarge, "header_too_large", 431},
     Row{ResultCode::kHeaderTimeout, "header_timeout", 408},
+    Row{ResultCode::kPromptQuarantined, "prompt_quarantined", 503},
     Row{ResultCode::kStaleEpoch, "stale_epoch", 503},
     Row{ResultCode::kNotFresh, "not_fresh", 503},
     Row{ResultCode::kZoneDrained, "zone_drained", 503},
--- a/src/bamboodock/core/result_code.h
+++ b/src/bamboodock/core/result_code.h
@@ -32,6 +32,7 @@
   kOverloaded = 208,
   kHeaderTooLarge = 209,
   kHeaderTimeout = 210,
+  kPromptQuarantined = 211,
   // 3xx: configuration and freshness.
   kStaleEpoch = 300,
   kNotFresh = 301,
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -84,6 +84,9 @@
     EventName{Event::kRolloutShareChanged, "rollout_share_changed"},
     EventName{Event::kEndpointDraining, "endpoint_draining"},
     EventName{Event::kAnswerLostEarly, "answer_lost_early"},
+    EventName{Event::kPromptPartQuarantined, "prompt_part_quarantined"},
+    EventName{Event::kPromptPartReleased, "prompt_part_released"},
+    EventName{Event::kPromptPartProbed, "prompt_part_probed"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -87,6 +87,9 @@
   kRolloutShareChanged = 725,
   kEndpointDraining = 726,
   kAnswerLostEarly = 727,
+  kPromptPartQuarantined = 728,
+  kPromptPartReleased = 729,
+  kPromptPartProbed = 730,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -29,6 +29,7 @@
                &RouterCounters::answers_over_limit},
     CounterRow{"bamboodock_answers_lost_early_total", "counter",
                &RouterCounters::answers_lost_early},
+    CounterRow{"bamboodock_prompts_refused_total", "counter", &RouterCounters::prompts_refused},
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
@@ -65,6 +66,8 @@
   AppendGauge(text, "bamboodock_config_version", static_cast<double>(version));
   AppendGauge(text, "bamboodock_endpoints", static_cast<double>(status->endpoints));
   AppendGauge(text, "bamboodock_entries", status->entries);
+  AppendGauge(text, "bamboodock_quarantined_prompt_parts",
+              static_cast<double>(status->quarantined_prompt_parts));
   AppendGauge(text, "bamboodock_dropped_log_lines", static_cast<double>(DroppedLogLines()));
   AppendLatency(text, counters_);
   return text;
--- a/src/bamboodock/query/router/router_status.h
+++ b/src/bamboodock/query/router/router_status.h
@@ -14,6 +14,7 @@
   MonotonicTime ready_until{};
   std::size_t endpoints = 0;
   std::uint32_t entries = 1;
+  std::size_t quarantined_prompt_parts = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -2,12 +2,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <variant>
 #include <vector>
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/quantity.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/evidence_counters.h"
+#include "bamboodock/policy/prompt_evidence.h"
 
 namespace bamboodock {
 
@@ -56,4 +58,12 @@
   OperatorTableState orders;
 };
 
+/// Evidence about prompt parts that crash endpoints, as known to an entry. Sent when there is any.
+struct PromptEvidenceReport {
+  HostId host;
+  std::vector<PromptPartEvidence> parts;
+};
+
+using PeerMessage = std::variant<PeerReport, PromptEvidenceReport>;
+
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -6,9 +6,16 @@
 
 namespace bamboodock {
 
+namespace {
+
+const MonotonicTime kNow(std::chrono::seconds(5000));
+
+}  // namespace
+
 class PeerCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerCodecTest);
   CPPUNIT_TEST(RoundTripKeepsEveryField);
+  CPPUNIT_TEST(PromptEvidenceKeepsItsAge);
   CPPUNIT_TEST(RandomDatagramsDoNotCrash);
   CPPUNIT_TEST_SUITE_END();
 
@@ -25,7 +32,8 @@
     evidence.answers.slow = 1;
     evidence.old_answers.answers = 90;
     report.rollouts.push_back(evidence);
-    const auto decoded = DecodePeerReport(EncodePeerReport(report));
+    const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
+    const auto* decoded = message ? std::get_if<PeerReport>(&*message) : nullptr;
     CPPUNIT_ASSERT(decoded && decoded->host == report.host &&
                    decoded->incarnation == report.incarnation);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->rollouts.size());
@@ -41,13 +49,40 @@
     CPPUNIT_ASSERT(decoded->orders.until == report.orders.until);
   }
 
+  // Guards against crashes that seem older or newer at another entry, and against a full report
+  // that does not fit into a datagram.
+  void PromptEvidenceKeepsItsAge() {
+    PromptEvidenceReport report{HostId("h1"), {}};
+    for (std::uint32_t i = 0; i < 12; ++i) {
+      PromptPartEvidence part{PromptPartHash(~std::uint64_t{i}), i, std::nullopt, {}};
+      if (i > 0) part.survived_at = kNow - std::chrono::minutes(i);
+      for (std::uint32_t j = 0; j < 6; ++j) {
+        part.losses.push_back(
+            {EndpointLifetimeHash(~i), RequestHash(~j), kNow - std::chrono::milliseconds(100 * j)});
+      }
+      report.parts.push_back(part);
+    }
+    const std::string bytes = EncodePromptEvidence(report, kNow);
+    CPPUNIT_ASSERT(bytes.size() <= 1400);
+    const MonotonicTime later = kNow + std::chrono::seconds(7);
+    const auto message = DecodePeerMessage(bytes, later);
+    const auto* decoded = message ? std::get_if<PromptEvidenceReport>(&*message) : nullptr;
+    CPPUNIT_ASSERT(decoded && decoded->host == report.host && decoded->parts.size() == 12);
+    CPPUNIT_ASSERT(!decoded->parts[0].survived_at);
+    CPPUNIT_ASSERT(later - *decoded->parts[3].survived_at == std::chrono::minutes(3));
+    const LostAnswer& loss = decoded->parts[3].losses[2];
+    CPPUNIT_ASSERT(later - loss.at == std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(loss.endpoint == EndpointLifetimeHash(~3U) && loss.request == RequestHash(~2U));
+  }
+
   // Guards against a crash of the process by datagrams of other programs.
   void RandomDatagramsDoNotCrash() {
     Random random(7);
     for (int round = 0; round < 2000; ++round) {
       std::string bytes(random.Below(60), '\0');
       for (char& byte : bytes) byte = static_cast<char>(random.Below(256));
-      const auto decoded = DecodePeerReport(bytes);
+      const auto message = DecodePeerMessage(bytes, kNow);
+      const auto* decoded = message ? std::get_if<PeerReport>(&*message) : nullptr;
       CPPUNIT_ASSERT(!decoded || !decoded->host.value().empty() || decoded->rollouts.empty());
     }
   }
--- a/test/fakes/loopback_router.h
+++ b/test/fakes/loopback_router.h
@@ -45,12 +45,13 @@
  public:
   /// @param route Its host is h.example, its prefix /a/, and its service s1.
   explicit LoopbackRouter(Route route)
-      : planning_(RouteState({HostId("h1"), IncarnationId("i1"), AvailabilityZoneId("z1")},
-                             RouterLimits(), clock_, Random(1), log_),
-                  {[this](PlannedAttempt planned) { return network_.Post(std::move(planned)); },
-                   [](const RolloutProgress&) { return true; },
-                   [](const PeerReport&) { return true; }, [](MonotonicTime) { return true; }},
-                  log_),
+      : planning_(
+            RouteState({HostId("h1"), IncarnationId("i1"), AvailabilityZoneId("z1")},
+                       RouterLimits(), clock_, Random(1), log_),
+            {[this](PlannedAttempt planned) { return network_.Post(std::move(planned)); },
+             [](const RolloutProgress&) { return true; }, [](const PeerReport&) { return true; },
+             [](const PromptEvidenceReport&) { return true; }, [](MonotonicTime) { return true; }},
+            log_),
         network_({"127.0.0.1", 0}, {"127.0.0.1", 0},
                  {wire_, clock_, log_, counters_, ModelEscalation({60}), AnswerLimits(),
                   [this](RouteCommand command) { return planning_.Post(std::move(command)); },
