Blame no prompt part for waves of crashes and for lost connections

Callers would see: sound requests refused. Cause: requests with a rare part waited at an endpoint of each of three waves a second apart; and any lost connection counted as a crash. Change: a crash does not count for a part when other endpoints, at which the part was not lost, crash within 50 ms. An endpoint that writes answers 0.1 to 1 s after a loss has not crashed. RecentTimes holds the bounded times. The stand-ins of CrashingPromptTest now get a new start time after each crash, as real endpoints do; what it checks is the same. Measured: WavesOfCrashesBlameNoPart, LostConnectionsBlameNoPart and MoreSpecificPartIsPreferred are new.

--- a/src/bamboodock/command/router/prompt_guard.cc
+++ b/src/bamboodock/command/router/prompt_guard.cc
@@ -61,7 +61,7 @@
       RequestHash(static_cast<std::uint32_t>(Hash(report.request->metadata.attempt.value())))};
   switch (report.fate) {
     case PromptFate::kUnderWay:
-      quarantine_.OnSurvived(attempt.parts, now);
+      quarantine_.OnSurvived(attempt, now);
       break;
     case PromptFate::kLost:
       quarantine_.OnLost(attempt, now);
--- a/src/bamboodock/policy/prompt_quarantine.cc
+++ b/src/bamboodock/policy/prompt_quarantine.cc
@@ -8,6 +8,21 @@
 
 /// Crashes closer together than this count as one.
 constexpr std::chrono::milliseconds kCrashSpacing{100};
+/// Crashes of different endpoints within this time have a common cause; entries see the same crash
+/// a few milliseconds apart.
+constexpr std::chrono::milliseconds kSameMoment{50};
+/// An endpoint that writes answers between these times after a loss has not crashed: answers that
+/// were on the way arrive before, and a restarted endpoint answers later.
+constexpr std::chrono::milliseconds kMinSignOfLife{100};
+constexpr std::chrono::milliseconds kMaxSignOfLife{1000};
+/// Losses at one endpoint within this time belong to one crash.
+constexpr std::chrono::seconds kCrashDuration{1};
+/// A part is preferred to a less specific one that occurs in the same crashes and in a few more: it
+/// explains at least this many tenths of them. The others may be losses beside a crash whose cause
+/// is not known yet.
+constexpr std::uint32_t kSpecificTenths = 6;
+/// Crashes by which another part must exceed one that is in quarantine, to replace it.
+constexpr std::int64_t kIncumbentBonus = 2;
 /// An endpoint may crash this long after an attempt with a deadly part was cancelled there.
 constexpr std::chrono::milliseconds kAbandonedWindow{500};
 constexpr std::size_t kMaxAbandoned = 256;
@@ -22,27 +37,13 @@
   return a.endpoint == b.endpoint && a.request == b.request;
 }
 
-}  // namespace
-
-std::optional<MonotonicTime> PromptQuarantine::SurvivedAt(PromptPartHash part) const {
-  for (const auto* generation : {&survivors_, &old_survivors_}) {
-    const auto found = generation->find(part);
-    if (found != generation->end()) return found->second;
-  }
-  return std::nullopt;
-}
+bool IsEarlier(const LostAnswer& a, const LostAnswer& b) { return a.at < b.at; }
 
-void PromptQuarantine::SetSurvived(PromptPartHash part, MonotonicTime at) {
-  const std::optional<MonotonicTime> known = SurvivedAt(part);
-  survivors_.insert_or_assign(part, known ? std::max(*known, at) : at);
-  if (survivors_.size() * 2 < kMaxSurvivors) return;
-  old_survivors_ = std::move(survivors_);
-  survivors_.clear();
-}
+}  // namespace
 
 bool PromptQuarantine::AddLoss(PromptPartHash part, std::uint32_t position,
                                const LostAnswer& loss) {
-  const std::optional<MonotonicTime> survived = SurvivedAt(part);
+  const std::optional<MonotonicTime> survived = survivors_.Find(part);
   if (survived && loss.at <= *survived) return false;
   Suspect& suspect = suspects_[part];
   suspect.position = position;
@@ -51,10 +52,7 @@
                                  [&](const LostAnswer& other) { return IsSame(loss, other); });
   const bool full = losses.size() >= kMaxLossesPerPart;
   if (known || (full && loss.at < losses.front().at)) return false;
-  const auto later =
-      std::upper_bound(losses.begin(), losses.end(), loss,
-                       [](const LostAnswer& a, const LostAnswer& b) { return a.at < b.at; });
-  losses.insert(later, loss);
+  losses.insert(std::upper_bound(losses.begin(), losses.end(), loss, IsEarlier), loss);
   if (full) losses.erase(losses.begin());
   ++revision_;
   return true;
@@ -74,15 +72,13 @@
 }
 
 void PromptQuarantine::AddCrash(const LostAnswer& loss) {
-  const bool known = std::any_of(crashed_.begin(), crashed_.end(), [&](const LostAnswer& other) {
-    return other.endpoint == loss.endpoint;
+  const bool known = std::any_of(crashes_.begin(), crashes_.end(), [&](const LostAnswer& other) {
+    const Duration apart = loss.at > other.at ? loss.at - other.at : other.at - loss.at;
+    return other.endpoint == loss.endpoint && apart < kCrashDuration;
   });
   if (known) return;
-  const auto later =
-      std::upper_bound(crashed_.begin(), crashed_.end(), loss,
-                       [](const LostAnswer& a, const LostAnswer& b) { return a.at < b.at; });
-  crashed_.insert(later, loss);
-  if (crashed_.size() > kMaxCrashedEndpoints) crashed_.pop_front();
+  crashes_.insert(std::upper_bound(crashes_.begin(), crashes_.end(), loss, IsEarlier), loss);
+  if (crashes_.size() > kMaxCrashes) crashes_.pop_front();
 }
 
 void PromptQuarantine::OnLost(const PromptAttempt& attempt, MonotonicTime now) {
@@ -102,9 +98,26 @@
   abandoned_.push_back({std::move(attempt), now});
 }
 
-void PromptQuarantine::OnSurvived(const std::vector<PromptPartHash>& parts, MonotonicTime now) {
-  for (const PromptPartHash part : parts) {
-    SetSurvived(part, now);
+void PromptQuarantine::RemoveLosses(EndpointLifetimeHash endpoint, MonotonicTime now) {
+  const auto is_refuted = [&](const LostAnswer& loss) {
+    return loss.endpoint == endpoint && loss.at + kMinSignOfLife < now &&
+           now < loss.at + kMaxSignOfLife;
+  };
+  if (std::erase_if(crashes_, is_refuted) == 0) return;
+  refuted_.Set(endpoint, now - kMinSignOfLife);
+  for (auto& [part, suspect] : suspects_) std::erase_if(suspect.losses, is_refuted);
+  ++revision_;
+}
+
+bool PromptQuarantine::IsRefuted(const LostAnswer& loss) const {
+  const std::optional<MonotonicTime> refuted = refuted_.Find(loss.endpoint);
+  return refuted && loss.at <= *refuted;
+}
+
+void PromptQuarantine::OnSurvived(const PromptAttempt& attempt, MonotonicTime now) {
+  RemoveLosses(attempt.endpoint, now);
+  for (const PromptPartHash part : attempt.parts) {
+    survivors_.Set(part, now);
     const auto suspect = suspects_.find(part);
     if (suspect == suspects_.end()) continue;
     if (quarantined_.contains(part)) suspect->second.contested_at = now;
@@ -115,12 +128,12 @@
 void PromptQuarantine::Merge(const std::vector<PromptPartEvidence>& evidence, MonotonicTime now) {
   for (const PromptPartEvidence& part : evidence) {
     if (part.survived_at) {
-      SetSurvived(part.part, std::min(*part.survived_at, now));
+      survivors_.Set(part.part, std::min(*part.survived_at, now));
       if (suspects_.contains(part.part)) ++revision_;
     }
-    const std::optional<MonotonicTime> survived = SurvivedAt(part.part);
+    const std::optional<MonotonicTime> survived = survivors_.Find(part.part);
     for (const LostAnswer& loss : part.losses) {
-      if (now - loss.at > kEvidenceLifetime) continue;
+      if (now - loss.at > kEvidenceLifetime || IsRefuted(loss)) continue;
       AddCrash(loss);
       if (AddLoss(part.part, part.position, loss)) AddAbandoned(loss);
     }
@@ -149,7 +162,7 @@
 
 void PromptQuarantine::Expire(MonotonicTime now) {
   for (auto& [part, suspect] : suspects_) {
-    const std::optional<MonotonicTime> survived = SurvivedAt(part);
+    const std::optional<MonotonicTime> survived = survivors_.Find(part);
     if (!survived) continue;
     std::erase_if(suspect.losses, [&](const LostAnswer& loss) { return loss.at <= *survived; });
   }
@@ -161,22 +174,39 @@
   });
 }
 
+bool PromptQuarantine::HasCommonCause(MonotonicTime at, const std::set<EndpointLifetimeHash>& own,
+                                      const std::set<EndpointLifetimeHash>& explained) const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [&](const LostAnswer& crash) {
+    const Duration apart = at > crash.at ? at - crash.at : crash.at - at;
+    return apart < kSameMoment && !own.contains(crash.endpoint) &&
+           !explained.contains(crash.endpoint);
+  });
+}
+
 PromptQuarantine::Tally PromptQuarantine::Count(
     PromptPartHash part, const Suspect& suspect,
     const std::set<EndpointLifetimeHash>& explained) const {
-  const std::optional<MonotonicTime> survived = SurvivedAt(part);
-  std::set<RequestHash> requests;
+  const std::optional<MonotonicTime> survived = survivors_.Find(part);
+  const auto counts = [&](const LostAnswer& loss) {
+    return (!survived || loss.at > *survived) && !explained.contains(loss.endpoint);
+  };
   Tally tally;
-  MonotonicTime counted{};
+  tally.part = part;
+  tally.position = suspect.position;
   for (const LostAnswer& loss : suspect.losses) {
-    if ((survived && loss.at <= *survived) || explained.contains(loss.endpoint)) continue;
+    if (counts(loss)) tally.endpoints.insert(loss.endpoint);
+  }
+  std::set<RequestHash> requests;
+  std::set<EndpointLifetimeHash> counted;
+  for (const LostAnswer& loss : suspect.losses) {
+    if (!counts(loss)) continue;
     requests.insert(loss.request);
-    if (!tally.endpoints.insert(loss.endpoint).second) continue;
+    if (!counted.insert(loss.endpoint).second) continue;
+    if (tally.crashes > 0 && loss.at - tally.last_at < kCrashSpacing) continue;
+    if (HasCommonCause(loss.at, tally.endpoints, explained)) continue;
     if (tally.crashes == 0) tally.first_at = loss.at;
     tally.last_at = loss.at;
-    if (tally.crashes > 0 && loss.at - counted < kCrashSpacing) continue;
     ++tally.crashes;
-    counted = loss.at;
   }
   tally.requests = requests.size();
   return tally;
@@ -186,7 +216,7 @@
                                             const std::set<EndpointLifetimeHash>& explained) const {
   std::uint32_t others = 0;
   MonotonicTime counted{};
-  for (const LostAnswer& crash : crashed_) {
+  for (const LostAnswer& crash : crashes_) {
     if (crash.at < tally.first_at || crash.at > tally.last_at) continue;
     if (tally.endpoints.contains(crash.endpoint) || explained.contains(crash.endpoint)) continue;
     if (others > 0 && crash.at - counted < kCrashSpacing) continue;
@@ -196,18 +226,46 @@
   return others;
 }
 
-std::int64_t PromptQuarantine::Surplus(PromptPartHash part, const Tally& tally,
+std::int64_t PromptQuarantine::Surplus(const Tally& tally,
                                        const std::set<EndpointLifetimeHash>& explained,
                                        MonotonicTime now) const {
   constexpr std::int64_t kNever = -1;
   if (tally.crashes < kMinCrashes || tally.requests < kMinRequests) return kNever;
   std::uint32_t needed = kMinCrashes + CountOthers(tally, explained) / kOtherCrashesPerCrash;
-  const std::optional<MonotonicTime> survived = SurvivedAt(part);
+  const std::optional<MonotonicTime> survived = survivors_.Find(tally.part);
   if (survived && now - *survived < kMinTimeSinceSurvival) return kNever;
   if (survived) needed += kExtraCrashesIfProven;
   return std::int64_t{tally.crashes} - needed;
 }
 
+std::optional<PromptQuarantine::Tally> PromptQuarantine::FindCulprit(
+    const std::set<EndpointLifetimeHash>& explained, MonotonicTime now) const {
+  std::vector<std::pair<std::int64_t, Tally>> candidates;
+  for (const auto& [part, suspect] : suspects_) {
+    // Most suspects occur in few losses, and are skipped without counting.
+    if (suspect.losses.size() < kMinCrashes) continue;
+    Tally tally = Count(part, suspect, explained);
+    const std::int64_t surplus = Surplus(tally, explained, now);
+    if (surplus < 0) continue;
+    candidates.emplace_back(surplus + (quarantined_.contains(part) ? kIncumbentBonus : 0),
+                            std::move(tally));
+  }
+  const auto best =
+      std::max_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.first, a.second.position) < std::pair(b.first, b.second.position);
+      });
+  if (best == candidates.end()) return std::nullopt;
+  const Tally* culprit = &best->second;
+  for (const auto& [rank, tally] : candidates) {
+    const bool within = std::includes(best->second.endpoints.begin(), best->second.endpoints.end(),
+                                      tally.endpoints.begin(), tally.endpoints.end());
+    const bool explains_most =
+        tally.endpoints.size() * 10 >= best->second.endpoints.size() * kSpecificTenths;
+    if (within && explains_most && tally.position > culprit->position) culprit = &tally;
+  }
+  return *culprit;
+}
+
 void PromptQuarantine::Evaluate(MonotonicTime now) {
   if (evaluated_revision_ == revision_ && now - evaluated_at_ < kEvaluationInterval) return;
   Expire(now);
@@ -215,25 +273,9 @@
   evaluated_at_ = now;
   std::map<PromptPartHash, std::uint32_t> found;
   std::set<EndpointLifetimeHash> explained;
-  while (true) {
-    // Of several parts that explain as much, the most specific one is chosen.
-    std::pair<std::int64_t, std::uint32_t> best_rank{-1, 0};
-    auto best = suspects_.end();
-    Tally best_tally;
-    for (auto it = suspects_.begin(); it != suspects_.end(); ++it) {
-      // Most suspects occur in few losses, and are skipped without counting.
-      if (it->second.losses.size() < kMinCrashes || found.contains(it->first)) continue;
-      Tally tally = Count(it->first, it->second, explained);
-      const std::int64_t surplus = Surplus(it->first, tally, explained, now);
-      const std::pair<std::int64_t, std::uint32_t> rank{surplus, it->second.position};
-      if (surplus < 0 || rank <= best_rank) continue;
-      best_rank = rank;
-      best = it;
-      best_tally = std::move(tally);
-    }
-    if (best == suspects_.end()) break;
-    found.emplace(best->first, best_tally.crashes);
-    explained.merge(best_tally.endpoints);
+  while (const std::optional<Tally> culprit = FindCulprit(explained, now)) {
+    found.emplace(culprit->part, culprit->crashes);
+    explained.insert(culprit->endpoints.begin(), culprit->endpoints.end());
   }
   quarantined_ = std::move(found);
 }
@@ -276,7 +318,7 @@
 
 PromptPartEvidence PromptQuarantine::MakeEvidence(PromptPartHash part,
                                                   const Suspect& suspect) const {
-  PromptPartEvidence evidence{part, suspect.position, SurvivedAt(part), {}};
+  PromptPartEvidence evidence{part, suspect.position, survivors_.Find(part), {}};
   // The newest loss at each endpoint, since losses at one endpoint count once.
   std::set<EndpointLifetimeHash> endpoints;
   for (auto loss = suspect.losses.rbegin(); loss != suspect.losses.rend(); ++loss) {
--- a/src/bamboodock/policy/prompt_quarantine.h
+++ b/src/bamboodock/policy/prompt_quarantine.h
@@ -4,10 +4,10 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 #include "bamboodock/policy/prompt_evidence.h"
+#include "bamboodock/policy/recent_times.h"
 
 namespace bamboodock {
 
@@ -47,8 +47,11 @@
 /// All parts of an answer that is lost early are suspects. A part is cleared when an answer with it
 /// is under way somewhere. The part that explains most of the remaining crashes is quarantined once
 /// these are enough, as in the greedy solution of a set cover: the crashes that it explains no
-/// longer speak against other parts. More are needed the more crashes it does not explain. Crashes
-/// at the same moment count as one, since a common cause is more likely then.
+/// longer speak against other parts. More are needed the more crashes it does not explain.
+///
+/// A crash does not count when other endpoints crash at the same moment, since a common cause is
+/// more likely then, nor when the endpoint writes answers soon afterwards: it has lost a connection
+/// only.
 ///
 /// Evidence is exchanged among the entries as a set that only grows until it expires, so that lost,
 /// repeated and reordered reports do no harm. Memory is bounded whatever parts callers send.
@@ -75,7 +78,8 @@
   static constexpr std::size_t kMaxSuspects = 512;
   static constexpr std::size_t kMaxLossesPerPart = 32;
   static constexpr std::size_t kMaxSurvivors = 4096;
-  static constexpr std::size_t kMaxCrashedEndpoints = 256;
+  static constexpr std::size_t kMaxCrashes = 256;
+  static constexpr std::size_t kMaxRefuted = 4096;
   /// Limits of what is reported to the other entries.
   static constexpr std::size_t kMaxReportedSuspects = 8;
   static constexpr std::size_t kMaxReportedCleared = 4;
@@ -86,8 +90,8 @@
   /// Records that this entry cancelled an attempt soon after its answer had begun. If its endpoint
   /// crashes at once, the attempt counts as lost.
   void OnAbandoned(PromptAttempt attempt, MonotonicTime now);
-  /// Records that an answer with the parts is under way.
-  void OnSurvived(const std::vector<PromptPartHash>& parts, MonotonicTime now);
+  /// Records that the answer is under way.
+  void OnSurvived(const PromptAttempt& attempt, MonotonicTime now);
   /// Adds the evidence of another entry.
   void Merge(const std::vector<PromptPartEvidence>& evidence, MonotonicTime now);
 
@@ -113,7 +117,10 @@
     MonotonicTime contested_at{};
     MonotonicTime probed_at{};
   };
+  /// Losses of a part that count.
   struct Tally {
+    PromptPartHash part;
+    std::uint32_t position = 0;
     std::uint32_t crashes = 0;
     std::size_t requests = 0;
     std::set<EndpointLifetimeHash> endpoints;
@@ -125,16 +132,21 @@
     MonotonicTime at{};
   };
 
-  std::optional<MonotonicTime> SurvivedAt(PromptPartHash part) const;
-  void SetSurvived(PromptPartHash part, MonotonicTime at);
   /// Adds a loss; returns whether it is new and later than the last survival of the part.
   bool AddLoss(PromptPartHash part, std::uint32_t position, const LostAnswer& loss);
-  /// Adds the endpoint of the loss to those that crashed.
+  /// Adds the crash of the loss unless it is known.
   void AddCrash(const LostAnswer& loss);
   /// Adds the abandoned attempts at the endpoint of the loss.
   void AddAbandoned(const LostAnswer& loss);
   void EvictSuspects();
   void Expire(MonotonicTime now);
+  /// Removes recent losses at an endpoint that writes answers.
+  void RemoveLosses(EndpointLifetimeHash endpoint, MonotonicTime now);
+  /// Whether the loss was no crash, since the endpoint wrote answers shortly afterwards.
+  bool IsRefuted(const LostAnswer& loss) const;
+  /// Whether an endpoint that is in neither set crashed at this moment.
+  bool HasCommonCause(MonotonicTime at, const std::set<EndpointLifetimeHash>& own,
+                      const std::set<EndpointLifetimeHash>& explained) const;
   Tally Count(PromptPartHash part, const Suspect& suspect,
               const std::set<EndpointLifetimeHash>& explained) const;
   /// Crashes from the first to the last one of the tally for which neither the part nor `explained`
@@ -142,20 +154,24 @@
   std::uint32_t CountOthers(const Tally& tally,
                             const std::set<EndpointLifetimeHash>& explained) const;
   /// Crashes of the part beyond those needed for a quarantine; negative when there are too few.
-  std::int64_t Surplus(PromptPartHash part, const Tally& tally,
-                       const std::set<EndpointLifetimeHash>& explained, MonotonicTime now) const;
+  std::int64_t Surplus(const Tally& tally, const std::set<EndpointLifetimeHash>& explained,
+                       MonotonicTime now) const;
+  /// The part that explains most of the crashes that are not explained yet; empty when none
+  /// explains enough of them.
+  std::optional<Tally> FindCulprit(const std::set<EndpointLifetimeHash>& explained,
+                                   MonotonicTime now) const;
   void Evaluate(MonotonicTime now);
   static MonotonicTime ProbeTime(const Suspect& suspect);
   PromptPartEvidence MakeEvidence(PromptPartHash part, const Suspect& suspect) const;
 
   std::map<PromptPartHash, Suspect> suspects_;
-  /// Parts by the time at which they last survived, in two generations: when the first is full, it
-  /// replaces the second.
-  std::unordered_map<PromptPartHash, MonotonicTime> survivors_;
-  std::unordered_map<PromptPartHash, MonotonicTime> old_survivors_;
+  /// When an answer to a prompt with the part was last under way.
+  RecentTimes<PromptPartHash> survivors_{kMaxSurvivors};
+  /// Time up to which losses at the endpoint were no crashes.
+  RecentTimes<EndpointLifetimeHash> refuted_{kMaxRefuted};
   std::deque<Abandoned> abandoned_;
-  /// Endpoints at which answers were lost early, oldest first.
-  std::deque<LostAnswer> crashed_;
+  /// One early loss of each crash, oldest first.
+  std::deque<LostAnswer> crashes_;
   std::map<PromptPartHash, std::uint32_t> quarantined_;
   std::uint64_t revision_ = 0;
   std::uint64_t evaluated_revision_ = 0;
--- a/test/command/router/crashing_prompt_test.cc
+++ b/test/command/router/crashing_prompt_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <list>
 
 #include "fakes/loopback_router.h"
@@ -66,27 +67,37 @@
   void RequestsWithACrashingPartAreRefused() {
     std::list<ScriptedServer> servers;
     LoopbackRouter router(MakeRoute());
-    for (int i = 0; i < kServers; ++i) {
-      servers.emplace_back(Serve);
-      router.Register("e" + std::to_string(i), servers.back().address());
-    }
+    for (int i = 0; i < kServers; ++i) servers.emplace_back(Serve);
     for (int i = 0; i < kCrashingRequests; ++i) {
+      RegisterRestarted(router, servers);
       const std::string number = std::to_string(i);
       router.Request("c" + number, Prompt("first:9,second:9,bad:9,own" + number + ":9"));
+      RegisterRestarted(router, servers);
       const std::string sound = router.Request(
           "s" + number, Prompt("first:9,second:9,other" + number + ":9,own" + number + ":9"));
       CPPUNIT_ASSERT_MESSAGE(sound, sound.find("id: 5") != std::string::npos);
     }
-    int crashes = 0;
-    for (const ScriptedServer& server : servers) {
-      for (const Request& request : server.requests()) {
-        const std::string prefix(request["X-Bamboodock-Prompt-Prefix"]);
-        if (prefix.find("bad:") != std::string::npos) ++crashes;
-      }
-    }
+    std::int64_t crashes = 0;
+    for (const ScriptedServer& server : servers) crashes += CountCrashes(server);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes) + "\n" + router.log().Text(),
                            crashes <= kMaxCrashes);
   }
+
+ private:
+  /// Registers each server with a start time that differs after each crash.
+  static void RegisterRestarted(LoopbackRouter& router, const std::list<ScriptedServer>& servers) {
+    int number = 0;
+    for (const ScriptedServer& server : servers) {
+      const StartTime started(1 + CountCrashes(server));
+      router.Register("e" + std::to_string(number++), server.address(), started);
+    }
+  }
+  static std::int64_t CountCrashes(const ScriptedServer& server) {
+    const auto requests = server.requests();
+    return std::count_if(requests.begin(), requests.end(), [](const Request& request) {
+      return std::string(request["X-Bamboodock-Prompt-Prefix"]).find("bad:") != std::string::npos;
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPromptTest);
--- a/test/fakes/loopback_router.h
+++ b/test/fakes/loopback_router.h
@@ -65,7 +65,7 @@
     planning_.Stop();
   }
 
-  void Register(const std::string& id, const Address& address) {
+  void Register(const std::string& id, const Address& address, StartTime started = StartTime(1)) {
     EndpointRecord record;
     record.id = EndpointId(id);
     record.service = ServiceId("s1");
@@ -73,7 +73,7 @@
     record.availability_zone = AvailabilityZoneId("z1");
     record.version = VersionId("v1");
     record.slots = Concurrency(8);
-    record.started = StartTime(1);
+    record.started = started;
     Apply(EndpointDelta{{record}, {}});
   }
   void Unregister(const std::string& id) { Apply(EndpointDelta{{}, {EndpointId(id)}}); }
--- a/test/policy/prompt_quarantine_test.cc
+++ b/test/policy/prompt_quarantine_test.cc
@@ -32,7 +32,7 @@
 
   /// Answers with the parts are under way at an entry.
   void Survive(std::size_t entry, const Parts& parts) {
-    entries_.at(entry).OnSurvived(parts, now_);
+    entries_.at(entry).OnSurvived({parts, EndpointLifetimeHash(0), RequestHash(0)}, now_);
   }
   /// The answer to `crashing` crashes an endpoint, at which an answer to each of `others` is lost.
   void Crash(std::size_t entry, const Parts& crashing, const std::vector<Parts>& others = {}) {
@@ -88,10 +88,13 @@
   CPPUNIT_TEST(CountingAloneBlamesSoundParts);
   CPPUNIT_TEST(EvidenceOfAllEntriesIsPooled);
   CPPUNIT_TEST(EndpointsThatCrashTogetherBlameNoPart);
+  CPPUNIT_TEST(WavesOfCrashesBlameNoPart);
+  CPPUNIT_TEST(LostConnectionsBlameNoPart);
   CPPUNIT_TEST(OrdinaryCrashesBlameNoPart);
   CPPUNIT_TEST(LaterCrashesDoNotReleaseAPart);
   CPPUNIT_TEST(TwoCrashingPartsAreFound);
   CPPUNIT_TEST(PartThatBeginsToCrashIsFound);
+  CPPUNIT_TEST(MoreSpecificPartIsPreferred);
   CPPUNIT_TEST(AbandonedAttemptsCount);
   CPPUNIT_TEST(SurvivalAtAnotherEntryClearsAPart);
   CPPUNIT_TEST(RestartedEntryLearnsFromTheOthers);
@@ -145,6 +148,32 @@
     CPPUNIT_ASSERT(fleet.Quarantined(0) == kNone && fleet.Quarantined(1) == kNone);
   }
 
+  // Guards against a rare part whose requests wait at an endpoint in each of several waves of
+  // crashes.
+  void WavesOfCrashesBlameNoPart() {
+    Fleet fleet(1);
+    for (std::uint64_t wave = 0; wave < 6; ++wave) {
+      fleet.Crash(0, {kFirst, kSecond});
+      for (std::uint64_t i = 0; i < 3; ++i)
+        fleet.Crash(0, {kFirst, PromptPartHash(50 + 4 * wave + i)});
+      fleet.Advance(seconds(1));
+      fleet.Survive(0, {kFirst});
+    }
+    CPPUNIT_ASSERT(fleet.Quarantined(0) == kNone);
+  }
+
+  // Guards against parts that are blamed when endpoints lose connections and write other answers.
+  void LostConnectionsBlameNoPart() {
+    PromptQuarantine quarantine;
+    MonotonicTime now{seconds(1)};
+    for (std::uint32_t i = 0; i < 10; ++i) {
+      quarantine.OnLost({{kFirst, kBad}, EndpointLifetimeHash(i), RequestHash(i)}, now);
+      now += milliseconds(300);
+      quarantine.OnSurvived({{kSecond}, EndpointLifetimeHash(i), RequestHash(100 + i)}, now);
+      CPPUNIT_ASSERT(quarantine.Quarantined(now).empty());
+    }
+  }
+
   // Guards against parts that are blamed for endpoints which crash one after the other by
   // themselves.
   void OrdinaryCrashesBlameNoPart() {
@@ -200,6 +229,17 @@
     CPPUNIT_ASSERT(fleet.Quarantined(0) == kOnlyBad);
   }
 
+  // Guards against a sound part that replaces the crashing one with which it is shared, because an
+  // entry hears of one more of its losses first.
+  void MoreSpecificPartIsPreferred() {
+    Fleet fleet(1);
+    PlayCrashes(fleet, 3);
+    fleet.Crash(0, {kFirst, kSecond, PromptPartHash(77)});
+    fleet.Advance(milliseconds(200));
+    fleet.Crash(0, {kFirst, kSecond, PromptPartHash(78)});
+    CPPUNIT_ASSERT(fleet.Quarantined(0) == kOnlyBad);
+  }
+
   // Guards against crashes without a culprit, because the router cancelled its attempt just before
   // to try a larger model.
   void AbandonedAttemptsCount() {
@@ -211,7 +251,7 @@
       quarantine.OnLost({{kFirst, PromptPartHash(50 + i)}, EndpointLifetimeHash(i), RequestHash(9)},
                         now);
       now += milliseconds(200);
-      quarantine.OnSurvived({kFirst}, now);
+      quarantine.OnSurvived({{kFirst}, EndpointLifetimeHash(99), RequestHash(99)}, now);
     }
     CPPUNIT_ASSERT(quarantine.Quarantined(now).contains(kBad));
   }
