--- a/src/bamboodock/policy/prompt_quarantine.cc
+++ b/src/bamboodock/policy/prompt_quarantine.cc
@@ -17,9 +17,8 @@
 constexpr std::chrono::milliseconds kMaxSignOfLife{1000};
 /// Losses at one endpoint within this time belong to one crash.
 constexpr std::chrono::seconds kCrashDuration{1};
-/// A part is preferred to a less specific one that occurs in the same crashes and in a few more: it
-/// explains at least this many tenths of them. The others may be losses beside a crash whose cause
-/// is not known yet.
+/// A part is not blamed while a more specific one occurs in this many tenths of its crashes and in
+/// no others. The remaining ones may be losses beside a crash whose cause is not known yet.
 constexpr std::uint32_t kSpecificTenths = 6;
 /// Crashes by which another part must exceed one that is in quarantine, to replace it.
 constexpr std::int64_t kIncumbentBonus = 2;
@@ -238,31 +237,33 @@
   return std::int64_t{tally.crashes} - needed;
 }
 
+bool PromptQuarantine::IsDominated(const Tally& tally, const std::vector<Tally>& others) {
+  return std::any_of(others.begin(), others.end(), [&](const Tally& other) {
+    return other.position > tally.position &&
+           other.endpoints.size() * 10 >= tally.endpoints.size() * kSpecificTenths &&
+           std::includes(tally.endpoints.begin(), tally.endpoints.end(), other.endpoints.begin(),
+                         other.endpoints.end());
+  });
+}
+
 std::optional<PromptQuarantine::Tally> PromptQuarantine::FindCulprit(
     const std::set<EndpointLifetimeHash>& explained, MonotonicTime now) const {
-  std::vector<std::pair<std::int64_t, Tally>> candidates;
+  std::vector<Tally> tallies;
   for (const auto& [part, suspect] : suspects_) {
-    // Most suspects occur in few losses, and are skipped without counting.
-    if (suspect.losses.size() < kMinCrashes) continue;
-    Tally tally = Count(part, suspect, explained);
-    const std::int64_t surplus = Surplus(tally, explained, now);
-    if (surplus < 0) continue;
-    candidates.emplace_back(surplus + (quarantined_.contains(part) ? kIncumbentBonus : 0),
-                            std::move(tally));
+    // Most suspects occur in one loss, and neither are nor dominate a culprit.
+    if (suspect.losses.size() > 1) tallies.push_back(Count(part, suspect, explained));
   }
-  const auto best =
-      std::max_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-        return std::pair(a.first, a.second.position) < std::pair(b.first, b.second.position);
-      });
-  if (best == candidates.end()) return std::nullopt;
-  const Tally* culprit = &best->second;
-  for (const auto& [rank, tally] : candidates) {
-    const bool within = std::includes(best->second.endpoints.begin(), best->second.endpoints.end(),
-                                      tally.endpoints.begin(), tally.endpoints.end());
-    const bool explains_most =
-        tally.endpoints.size() * 10 >= best->second.endpoints.size() * kSpecificTenths;
-    if (within && explains_most && tally.position > culprit->position) culprit = &tally;
+  const Tally* culprit = nullptr;
+  std::int64_t highest = -1;
+  for (const Tally& tally : tallies) {
+    const std::int64_t surplus = Surplus(tally, explained, now);
+    if (surplus < 0 || IsDominated(tally, tallies)) continue;
+    const std::int64_t rank = surplus + (quarantined_.contains(tally.part) ? kIncumbentBonus : 0);
+    if (rank <= highest) continue;
+    highest = rank;
+    culprit = &tally;
   }
+  if (culprit == nullptr) return std::nullopt;
   return *culprit;
 }
 
--- a/src/bamboodock/policy/prompt_quarantine.h
+++ b/src/bamboodock/policy/prompt_quarantine.h
@@ -156,6 +156,8 @@
   /// Crashes of the part beyond those needed for a quarantine; negative when there are too few.
   std::int64_t Surplus(const Tally& tally, const std::set<EndpointLifetimeHash>& explained,
                        MonotonicTime now) const;
+  /// Whether a more specific part explains most of the crashes of the tally.
+  static bool IsDominated(const Tally& tally, const std::vector<Tally>& others);
   /// The part that explains most of the crashes that are not explained yet; empty when none
   /// explains enough of them.
   std::optional<Tally> FindCulprit(const std::set<EndpointLifetimeHash>& explained,
--- a/src/bamboodock/replay/replayer.cc
+++ b/src/bamboodock/replay/replayer.cc
@@ -14,10 +14,11 @@
 
 const std::map<std::string, Factory>& Factories() {
   static const std::map<std::string, Factory> kFactories = {
-      {"attempt", &MakeAttemptReplay}, {"billing", &MakeBillingReplay},
-      {"claim", &MakeClaimReplay},     {"freshness", &MakeFreshnessReplay},
-      {"lease", &MakeLeaseReplay},     {"publication", &MakePublicationReplay},
-      {"stream", &MakeStreamReplay},   {"witness", &MakeWitnessReplay},
+      {"attempt", &MakeAttemptReplay},       {"billing", &MakeBillingReplay},
+      {"claim", &MakeClaimReplay},           {"freshness", &MakeFreshnessReplay},
+      {"lease", &MakeLeaseReplay},           {"publication", &MakePublicationReplay},
+      {"quarantine", &MakeQuarantineReplay}, {"stream", &MakeStreamReplay},
+      {"witness", &MakeWitnessReplay},
   };
   return kFactories;
 }
--- a/src/bamboodock/replay/rule_replay.h
+++ b/src/bamboodock/replay/rule_replay.h
@@ -89,6 +89,8 @@
                                             const std::string& process);
 std::unique_ptr<RuleReplay> MakePublicationReplay(const TraceFields& settings,
                                                   const std::string& process);
+std::unique_ptr<RuleReplay> MakeQuarantineReplay(const TraceFields& settings,
+                                                 const std::string& process);
 std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings,
                                              const std::string& process);
 std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings,
--- a/test/policy/prompt_quarantine_test.cc
+++ b/test/policy/prompt_quarantine_test.cc
@@ -233,9 +233,11 @@
   // entry hears of one more of its losses first.
   void MoreSpecificPartIsPreferred() {
     Fleet fleet(1);
-    PlayCrashes(fleet, 3);
+    PlayCrashes(fleet, 2);
     fleet.Crash(0, {kFirst, kSecond, PromptPartHash(77)});
     fleet.Advance(milliseconds(200));
+    CPPUNIT_ASSERT(fleet.Quarantined(0) == kNone);
+    PlayCrashes(fleet, 1);
     fleet.Crash(0, {kFirst, kSecond, PromptPartHash(78)});
     CPPUNIT_ASSERT(fleet.Quarantined(0) == kOnlyBad);
   }
