Split the tests of the network duty

Change: streams and answers without end have files of their own; the router whose plans a test sets is PlannedRouter in test/fakes. No test or check changes.

--- /dev/null
+++ b/test/command/router/stream_relay_test.cc
@@ -0,0 +1,139 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/read_until.hpp>
+
+#include "fakes/planned_router.h"
+
+namespace bamboodock {
+namespace {
+
+using ConnectionAction = ScriptedServer::ConnectionAction;
+using Answer = ScriptedServer::Answer;
+
+}  // namespace
+
+/// Streams that break off, stall or are slow.
+class StreamRelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StreamRelayTest);
+  CPPUNIT_TEST(BrokenStreamIsResumed);
+  CPPUNIT_TEST(NonResumableStreamEndsTruncated);
+  CPPUNIT_TEST(TricklingStreamIsResumedElsewhere);
+  CPPUNIT_TEST(TricklingHeadIsRetriedElsewhere);
+  CPPUNIT_TEST(SlowStreamIsNotCut);
+  CPPUNIT_TEST(AbortTruncatesOpenStreams);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against lost, duplicated or partial events when the connection to an endpoint breaks
+  // during a stream.
+  void BrokenStreamIsResumed() {
+    ScriptedServer first([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1) + StreamEvent(2) + "id: 3\nda"),
+                    ConnectionAction::kReset};
+    });
+    ScriptedServer second([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(2) + StreamEvent(3)) +
+                        Chunk(StreamEvent(4)) + "0\r\n\r\n",
+                    ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(first.address());
+    router.Plan(second.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT(second.requests().at(0)["Last-Event-Id"] == "2");
+    for (int id = 1; id <= 4; ++id) {
+      const std::size_t found = answer.find(StreamEvent(id));
+      CPPUNIT_ASSERT(found != std::string::npos);
+      CPPUNIT_ASSERT(answer.find(StreamEvent(id), found + 1) == std::string::npos);
+    }
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(!Contains(answer, "id: 3\nda\r\n"));
+  }
+
+  // Guards against an interrupted stream that ends as if it were complete.
+  void NonResumableStreamEndsTruncated() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kReset};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, false));
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT(!answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.requests().size());
+  }
+
+  // Guards against a stalled stream that never ends because it sends a byte now and then.
+  void TricklingStreamIsResumedElsewhere() {
+    ScriptedServer stalled([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kTrickle, Chunk(":")};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(2)) + "0\r\n\r\n", ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeFastRoute(RouteKind::kStream));
+    router.Plan(stalled.address());
+    router.Plan(sound.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT(Contains(answer, StreamEvent(1)) && Contains(answer, StreamEvent(2)));
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+  }
+
+  // Guards against a request that is held until its deadline by a head that never ends.
+  void TricklingHeadIsRetriedElsewhere() {
+    ScriptedServer stalled([](const auto&, std::size_t) {
+      return Answer{"HTTP/1.1 200 OK\r\nX-Slow: ", ConnectionAction::kTrickle, "a"};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{FullAnswer("200 OK", kAnswerHeaders, "done"), ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeFastRoute(RouteKind::kSafe));
+    router.Plan(stalled.address());
+    router.Plan(sound.address());
+    CPPUNIT_ASSERT(router.Exchange(PostRequest()).ends_with("done"));
+  }
+
+  // Guards against a sound stream that is cut because its events come slowly and no other endpoint
+  // can take it over.
+  void SlowStreamIsNotCut() {
+    ScriptedServer slow([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kFinishLater,
+                    Chunk(StreamEvent(2)) + "0\r\n\r\n"};
+    });
+    PlannedRouter router(MakeFastRoute(RouteKind::kStream));
+    router.Plan(slow.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT(Contains(answer, StreamEvent(2)) && answer.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(router.reasons.back() == PlanReason::kResume);
+  }
+
+  // Guards against a stream that is cut at the end of the grace time and looks complete.
+  void AbortTruncatesOpenStreams() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kWaitForPeer};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(endpoint.address());
+    boost::asio::ip::tcp::socket caller = router.Connect();
+    boost::asio::write(caller, boost::asio::buffer(PostRequest()));
+    std::string received;
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(received), StreamEvent(1));
+    router.network().CloseIdle();
+    router.network().AbortOpen();
+    CPPUNIT_ASSERT(router.network().AwaitIdle(std::chrono::seconds(10)));
+    CPPUNIT_ASSERT(!(received + ReadToEnd(caller)).ends_with("0\r\n\r\n"));
+  }
+
+ private:
+  /// Route whose intervals and timeouts let a stall show within a fraction of a second.
+  static Route MakeFastRoute(RouteKind kind) {
+    Route route = MakeRoute(kind, true);
+    route.timeout = std::chrono::seconds(60);
+    route.interval_objective = std::chrono::milliseconds(200);
+    return route;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamRelayTest);
+
+}  // namespace bamboodock
