Believe a refusal only for the request that it names

Reported by operators of similar systems: a faulty endpoint wrote an earlier refusal once more; callers were told 'not run' for requests that ran, or these ran at a second endpoint (REFUSED, TWICE). Can it happen here: not on a kept connection, since each attempt has its own. But a refusal that names another request was believed, so an endpoint that writes one to the wrong connection had the same effect. Seen: the unsafe request of RefusalOfAnotherRequestIsNotBelieved ran at a second endpoint. Cause: the attempt id was compared for answers, not for refusals.

--- a/src/bamboodock/routing/answer_head.h
+++ b/src/bamboodock/routing/answer_head.h
@@ -22,7 +22,8 @@
   int status = 0;
   /// Headers to forward to the caller.
   std::vector<HttpHeader> headers;
-  /// Whether the endpoint states that it did not run the request.
+  /// Whether the endpoint states that it did not run the request. A refusal of another request
+  /// states nothing about this one.
   bool not_run = false;
   /// Whether an endpoint other than the requested one answered.
   bool wrong_endpoint = false;
--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(RequestIsRetriedAfterConnectFailure);
   CPPUNIT_TEST(MismatchedAnswerIsNotDelivered);
   CPPUNIT_TEST(UnprovenNotRunStatusIsNotForwarded);
+  CPPUNIT_TEST(RefusalOfAnotherRequestIsNotBelieved);
   CPPUNIT_TEST(TruncatedAnswerIsNotDelivered);
   CPPUNIT_TEST(LowConfidenceEscalatesToLargerModel);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
@@ -120,6 +121,27 @@
     CPPUNIT_ASSERT(Contains(answer, "HTTP/1.1 502") && !Contains(answer, "Response-Stamp"));
   }
 
+  // Guards against a request that runs twice, or is refused as not run although it runs, because
+  // its endpoint sends an earlier refusal once more.
+  void RefusalOfAnotherRequestIsNotBelieved() {
+    ScriptedServer faulty([](const auto&, std::size_t) {
+      return Answer{FullAnswer("503 Full",
+                               "X-Bamboodock-Attempt-Id: earlier\r\n"
+                               "X-Bamboodock-Not-Executed: 1\r\n",
+                               ""),
+                    ConnectionAction::kClose};
+    });
+    ScriptedServer second([](const auto&, std::size_t) {
+      return Answer{FullAnswer("200 OK", kAnswerHeaders, "done"), ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kUnsafe));
+    router.Plan(faulty.address());
+    router.Plan(second.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT_MESSAGE(answer, Contains(answer, "HTTP/1.1 502"));
+    CPPUNIT_ASSERT(second.requests().empty());
+  }
+
   // Guards against a truncated answer that is delivered as complete.
   void TruncatedAnswerIsNotDelivered() {
     ScriptedServer endpoint([](const auto&, std::size_t) {
--- a/test/platform/http_wire_protocol_test.cc
+++ b/test/platform/http_wire_protocol_test.cc
@@ -119,6 +119,10 @@
     const auto other = protocol.DecodeAnswer(421, {}, AttemptId("a"));
     CPPUNIT_ASSERT(other.not_run && other.wrong_endpoint);
     CPPUNIT_ASSERT(!protocol.DecodeAnswer(503, {}, AttemptId("a")).not_run);
+    const auto earlier = protocol.DecodeAnswer(
+        503, {{"X-Bamboodock-Not-Executed", "1"}, {"X-Bamboodock-Attempt-Id", "b"}},
+        AttemptId("a"));
+    CPPUNIT_ASSERT(!earlier.not_run && !earlier.matches_request);
   }
 
   // Guards against an endpoint that is left out because of a malformed or endless Retry-After.
