Continue a broken stream only with a stream

Reported by operators of similar systems: a stream broke off, the next endpoint answered with an error, and callers found its text in their stream, or the stream ended as complete (ORDER, MIXED). Can it happen here: not with an error status (ErrorAfterABrokenStreamIsNotDelivered passed before): the stream ends truncated. With a success status and another content type it could: the body went through the splitter of events into the caller's stream. Cause: the content type of the answer that resumes a stream was not looked at. Change: such an answer is malformed, and the stream is resumed elsewhere or ends truncated. Measured: OnlyAStreamContinuesABrokenStream failed before (the text reached the caller) and passes; ErrorAfterABrokenStreamIsNotDelivered and UnframedStreamThatEndsInsideAnEventIsResumed passed before and after; 328 unit tests pass.

--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -391,7 +391,8 @@
     co_return co_await RetryOrFail(PlanReason::kNotRun, ResultCode::kNoEndpoint);
   }
   const bool malformed = !head.matches_request || head.encoded ||
-                         (head.IsSuccess() && !head.has_digest) || ImpliesNotRun(head.status);
+                         (head.IsSuccess() && !head.has_digest) || ImpliesNotRun(head.status) ||
+                         (head.IsSuccess() && writer_.begun() && !head.event_stream);
   if (malformed) {
     call_->Cancel();
     Report(plan, AttemptOutcome::kBroken,
--- a/test/command/router/stream_relay_test.cc
+++ b/test/command/router/stream_relay_test.cc
@@ -17,6 +17,9 @@
   CPPUNIT_TEST_SUITE(StreamRelayTest);
   CPPUNIT_TEST(BrokenStreamIsResumed);
   CPPUNIT_TEST(NonResumableStreamEndsTruncated);
+  CPPUNIT_TEST(ErrorAfterABrokenStreamIsNotDelivered);
+  CPPUNIT_TEST(OnlyAStreamContinuesABrokenStream);
+  CPPUNIT_TEST(UnframedStreamThatEndsInsideAnEventIsResumed);
   CPPUNIT_TEST(TricklingStreamIsResumedElsewhere);
   CPPUNIT_TEST(TricklingHeadIsRetriedElsewhere);
   CPPUNIT_TEST(SlowStreamIsNotCut);
@@ -63,6 +66,69 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.requests().size());
   }
 
+  // Guards against the text or the head of an error in the middle of a stream, and against a stream
+  // that ends as complete, when the endpoints that could resume it answer with errors.
+  void ErrorAfterABrokenStreamIsNotDelivered() {
+    ScriptedServer broken([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kReset};
+    });
+    ScriptedServer failing([](const auto&, std::size_t number) {
+      return Answer{FullAnswer(number == 0 ? "500 Error" : "400 Bad", kAnswerHeaders, "boom\n\n"),
+                    ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(broken.address());
+    router.Plan(failing.address());
+    router.Plan(failing.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, failing.requests().size());
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(Chunk(StreamEvent(1))));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, answer.rfind("HTTP/1.1"));
+  }
+
+  // Guards against the body of an answer that is not a stream in the middle of one, when an
+  // endpoint reports its error with a success status.
+  void OnlyAStreamContinuesABrokenStream() {
+    ScriptedServer broken([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(1)), ConnectionAction::kReset};
+    });
+    ScriptedServer failing([](const auto&, std::size_t) {
+      const std::string headers = std::string(kAnswerHeaders) + "Content-Type: text/plain\r\n";
+      return Answer{FullAnswer("200 OK", headers, "boom\n\n"), ConnectionAction::kClose};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{StreamHead(90) + Chunk(StreamEvent(2)) + "0\r\n\r\n", ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(broken.address());
+    router.Plan(failing.address());
+    router.Plan(sound.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT_MESSAGE(answer, !Contains(answer, "boom"));
+    CPPUNIT_ASSERT(answer.ends_with(Chunk(StreamEvent(2)) + "0\r\n\r\n"));
+  }
+
+  // Guards against a stream without length and chunks that counts as complete although its
+  // connection ended inside an event.
+  void UnframedStreamThatEndsInsideAnEventIsResumed() {
+    ScriptedServer broken([](const auto&, std::size_t) {
+      return Answer{"HTTP/1.1 200 OK\r\n" + std::string(kAnswerHeaders) +
+                        "Content-Type: text/event-stream\r\n\r\n" + StreamEvent(1) + "id: 2\nda",
+                    ConnectionAction::kClose};
+    });
+    ScriptedServer sound([](const auto&, std::size_t) {
+      return Answer{"HTTP/1.1 200 OK\r\n" + std::string(kAnswerHeaders) +
+                        "Content-Type: text/event-stream\r\n\r\n" + StreamEvent(2),
+                    ConnectionAction::kClose};
+    });
+    PlannedRouter router(MakeRoute(RouteKind::kStream, true));
+    router.Plan(broken.address());
+    router.Plan(sound.address());
+    const std::string answer = router.Exchange(PostRequest());
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(Chunk(StreamEvent(2)) + "0\r\n\r\n"));
+    CPPUNIT_ASSERT(!Contains(answer, "id: 2\nda\r\n"));
+  }
+
   // Guards against a stalled stream that never ends because it sends a byte now and then.
   void TricklingStreamIsResumedElsewhere() {
     ScriptedServer stalled([](const auto&, std::size_t) {
