Take no extra answer of the store for the answer to the next call

Callers would see: decisions from rows of another call. Change: AsyncHttpChannel closes a connection on which bytes have arrived between calls. Measured: ExtraAnswerIsNotTakenForTheNextOne failed before (the feed stood at the extra answer's revision and missed a row) and passes; 329 unit tests pass.

--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -23,6 +23,11 @@
   buffer_.consume(buffer_.size());
 }
 
+bool AsyncHttpChannel::HasUnreadBytes() {
+  SocketError error;
+  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
+}
+
 void AsyncHttpChannel::SetServer(Address server) {
   if (server == server_) return;
   server_ = std::move(server);
@@ -54,6 +59,7 @@
 asio::awaitable<HttpExchangeResult> AsyncHttpChannel::Call(HttpRequest request,
                                                            std::chrono::milliseconds timeout) {
   HttpExchangeResult result;
+  if (open_ && HasUnreadBytes()) Close();
   if (!open_) {
     stream_.close();
     result.error = co_await Connect(stream_, server_, kConnectTimeout);
--- a/src/bamboodock/transport/async_http_channel.h
+++ b/src/bamboodock/transport/async_http_channel.h
@@ -31,6 +31,8 @@
   void Close();
 
  private:
+  /// Whether bytes have arrived that belong to no call.
+  bool HasUnreadBytes();
   asio::awaitable<SocketError> Exchange(const HttpRequest& request, HttpResponse& response,
                                         bool& keep_alive);
 
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(ListsAgainAfterHistoryLoss);
   CPPUNIT_TEST(KeepsExpiredEndpointsForGracePeriod);
   CPPUNIT_TEST(RedeliversChangesThatWereNotAccepted);
+  CPPUNIT_TEST(ExtraAnswerIsNotTakenForTheNextOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -179,6 +180,24 @@
         [](RecordingListener& listener) { CPPUNIT_ASSERT(listener.Await({"e1"})); }, 1);
   }
 
+  // Guards against rows of an answer that the store sends without a call, which would be taken for
+  // the answer to the next call on the kept connection.
+  void ExtraAnswerIsNotTakenForTheNextOne() {
+    Run(
+        [](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-get", "servers")) {
+            return Keep(Rows(EndpointRow("e1", 3), 3) + Rows(EndpointRow("e9", 9), 9));
+          }
+          if (IsCallFor(request, "rows-feed", "servers") && After(request) == 3) {
+            return Keep(Rows(EndpointRow("e2", 5), 5));
+          }
+          return DefaultAnswer(request);
+        },
+        [](RecordingListener& listener) {
+          CPPUNIT_ASSERT(listener.Await({"e1", "e2"}));
+        });
+  }
+
  private:
   static Answer Keep(std::string bytes) { return {std::move(bytes), ConnectionAction::kKeep}; }
 
