Keep a version on trial while the evidence speaks against it

Cause: a trial of 13 s had 17 answers of the new version. Slow streams were counted when they ended, so the slower the version the fewer of them were seen (7 streams, 5 slow; z 2.9, needed 3.5). Then all traffic moved, although the evidence spoke against it. Change: an answer counts as evidence when four of its events have arrived; its end adds only what it showed later. A version is moved and completed only while it is not suspect (two standard errors instead of 3.5, three bad answers); a suspect one stays on trial, beyond its time limit if need be: a late rollout does less harm than a bad one.

--- a/src/bamboodock/command/router/attempt_record.h
+++ b/src/bamboodock/command/router/attempt_record.h
@@ -27,6 +27,8 @@
   /// Complete events that have arrived.
   std::uint64_t events = 0;
   MeanEventInterval event_interval;
+  /// The interval when the answer came under way.
+  std::optional<Duration> early_event_interval;
   /// Whether the answer states that its endpoint drains.
   bool draining = false;
   /// Whether the connection was lost before the end of the answer.
@@ -40,9 +42,14 @@
     started = now;
     sent = true;
   }
-  void OnEvents(std::uint64_t count, MonotonicTime now) {
+  /// Records that events have arrived; returns whether the answer has come under way with them.
+  bool OnEvents(std::uint64_t count, MonotonicTime now) {
+    const bool was_under_way = IsUnderWay();
     events += count;
     event_interval.Add(count, now);
+    if (was_under_way || !IsUnderWay()) return false;
+    early_event_interval = event_interval.Interval();
+    return true;
   }
   bool IsUnderWay() const { return events >= kEventsUnderWay; }
   /// Whether the answer was lost before it was under way.
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -40,6 +40,7 @@
     PublishStatus();
   }
   void On(HeadReport& report) { state_.Apply(report); }
+  void On(UnderWayReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
   void On(PromptReport& report) { state_.Apply(report); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -150,6 +150,11 @@
                   attempt_.head_latency.has_value(), attempt_.events, ids));
 }
 
+void RequestExchange::ReportUnderWay(const AttemptPlan& plan) {
+  Post(UnderWayReport{attempt_.MakeReport(plan, request_->metadata, AttemptOutcome::kSuccess)});
+  ReportPrompt(plan, PromptFate::kUnderWay);
+}
+
 void RequestExchange::ReportPrompt(const AttemptPlan& plan, PromptFate fate) {
   if (request_->metadata.prompt_parts.size() < 2) return;
   Post(PromptReport{request_, plan.endpoint, plan.started, fate});
@@ -516,9 +521,7 @@
     std::string events = events_.Take();
     if (events_.partial_size() > services_.answer_limits.event) co_return CallStatus::kTooLarge;
     if (!events.empty()) idle_since = services_.clock.Now();
-    const bool was_under_way = attempt_.IsUnderWay();
-    attempt_.OnEvents(events_.taken() - before, services_.clock.Now());
-    if (!was_under_way && attempt_.IsUnderWay()) ReportPrompt(plan, PromptFate::kUnderWay);
+    if (attempt_.OnEvents(events_.taken() - before, services_.clock.Now())) ReportUnderWay(plan);
     bool sent = true;
     if (!events.empty()) {
       sent = co_await writer_.Write(std::move(events));
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -95,6 +95,7 @@
   void ReportFailed(const AttemptPlan& plan, CallStatus status, std::string_view detail);
   /// Logs the parts of the prompt when the answer was lost before it was under way.
   void LogLostPrompt(const AttemptPlan& plan);
+  void ReportUnderWay(const AttemptPlan& plan);
   /// Reports what became of the prompt, if it has parts that other requests may share.
   void ReportPrompt(const AttemptPlan& plan, PromptFate fate);
   void Post(RouteCommand report);
--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -130,13 +130,28 @@
   if (to_target) ++found->second.target_requests;
 }
 
-void RolloutController::OnReport(const AttemptReport& report,
-                                 const LatencyBaseline::Verdict& latency) {
+EvidenceCounters* RolloutController::CountersOf(const AttemptReport& report) {
   const auto found = rollouts_.find(report.service);
-  if (found == rollouts_.end()) return;
+  if (found == rollouts_.end()) return nullptr;
   Rollout& rollout = found->second;
-  EvidenceCounters& counters =
-      rollout.order.target == report.version ? rollout.own_target : rollout.own_old;
+  return rollout.order.target == report.version ? &rollout.own_target : &rollout.own_old;
+}
+
+void RolloutController::OnUnderWay(const AttemptReport& report,
+                                   const LatencyBaseline::Verdict& latency) {
+  EvidenceCounters* const counters = CountersOf(report);
+  if (counters == nullptr) return;
+  ++counters->answers;
+  ++counters->streams;
+  if (latency.late_head) ++counters->slow;
+  if (latency.slow_early_events) ++counters->slow_streams;
+}
+
+void RolloutController::OnReport(const AttemptReport& report,
+                                 const LatencyBaseline::Verdict& latency) {
+  EvidenceCounters* const found = CountersOf(report);
+  if (found == nullptr) return;
+  EvidenceCounters& counters = *found;
   const bool failed =
       report.outcome == AttemptOutcome::kFailure || report.outcome == AttemptOutcome::kBroken;
   const bool silent = report.outcome == AttemptOutcome::kSilent;
@@ -144,8 +159,12 @@
   const bool judged = report.outcome == AttemptOutcome::kSuccess ||
                       report.outcome == AttemptOutcome::kCancelled || failed || silent;
   if (!judged || dropped) return;
-  ++counters.answers;
   if (failed) ++counters.errors;
+  if (report.early_event_interval) {
+    if (latency.slow_events && !latency.slow_early_events) ++counters.slow_streams;
+    return;
+  }
+  ++counters.answers;
   if (latency.late_head || silent) ++counters.slow;
   if (report.event_interval) ++counters.streams;
   if (latency.slow_events) ++counters.slow_streams;
@@ -222,7 +241,8 @@
                                         std::uint64_t own_open) {
   const EvidenceTotals totals = SumEvidence(rollout);
   JudgeTarget(rollout, totals);
-  const RolloutSnapshot snapshot = MakeSnapshot(rollout, store_now, own_open);
+  RolloutSnapshot snapshot = MakeSnapshot(rollout, store_now, own_open);
+  snapshot.suspect = IsWorseVersion(totals.target, totals.old, Certainty::kSuspicion);
   const RolloutSchedule schedule = MakeRolloutSchedule(limits_, snapshot);
   const double before = rollout.share;
   SetShare(rollout, schedule, snapshot);
--- a/src/bamboodock/command/router/rollout_controller.h
+++ b/src/bamboodock/command/router/rollout_controller.h
@@ -54,6 +54,9 @@
   Ratio trial_share() const { return MakeRolloutSchedule(limits_, {}).trial_share; }
 
   void OnSend(const ServiceId& service, bool to_target);
+  /// Adds an answer that is under way to the evidence. `OnReport` then adds only what it showed
+  /// later.
+  void OnUnderWay(const AttemptReport& report, const LatencyBaseline::Verdict& latency);
   void OnReport(const AttemptReport& report, const LatencyBaseline::Verdict& latency);
 
   /// Evidence of this entry; the caller fills in `open_at_old`.
@@ -89,6 +92,8 @@
     EvidenceCounters old;
   };
 
+  /// Counters of the report's version; null when its service has no rollout.
+  EvidenceCounters* CountersOf(const AttemptReport& report);
   static EvidenceTotals SumEvidence(const Rollout& rollout);
   void JudgeTarget(Rollout& rollout, const EvidenceTotals& totals);
   /// Judges the target and sets its share; returns the new state of the rollout.
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -81,7 +81,8 @@
   PromptFate fate = PromptFate::kUnderWay;
 };
 
-using RouteCommand = std::variant<PlanQuery, HeadReport, AttemptReport, PromptReport, OperatorDelta,
-                                  EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport>;
+using RouteCommand =
+    std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport, PromptReport, OperatorDelta,
+                 EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -375,6 +375,10 @@
                          report.started.value(), pool_.Find(report.endpoint) != nullptr));
 }
 
+void RouteState::Apply(const UnderWayReport& report) {
+  rollouts_.OnUnderWay(report.attempt, pool_.Judge(report.attempt));
+}
+
 void RouteState::Apply(const AttemptReport& report) {
   const MonotonicTime now = clock_.Now();
   const LatencyBaseline::Verdict latency = pool_.Judge(report);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -39,6 +39,7 @@
   /// Plans the next attempt of a request, or states why there is none.
   PlanAnswer Plan(const PlanQuery& query);
   void Apply(const HeadReport& report);
+  void Apply(const UnderWayReport& report);
   void Apply(const AttemptReport& report);
   void Apply(const PromptReport& report) { prompts_.Apply(report, clock_.Now()); }
   void Apply(const OperatorDelta& delta);
--- a/src/bamboodock/policy/latency_baseline.cc
+++ b/src/bamboodock/policy/latency_baseline.cc
@@ -61,9 +61,12 @@
     verdict.late_head = RelativeLatency(report) > kLateHeadRatio * head->second;
   }
   const auto baseline = event_interval_.find(key);
-  if (report.event_interval && baseline != event_interval_.end()) {
-    verdict.slow_events =
-        Seconds(*report.event_interval).count() > kSlowEventsRatio * baseline->second;
+  if (baseline != event_interval_.end()) {
+    const auto is_slow = [&](const std::optional<Duration>& interval) {
+      return interval && Seconds(*interval).count() > kSlowEventsRatio * baseline->second;
+    };
+    verdict.slow_events = is_slow(report.event_interval);
+    verdict.slow_early_events = is_slow(report.early_event_interval);
   }
   return verdict;
 }
--- a/src/bamboodock/policy/latency_baseline.h
+++ b/src/bamboodock/policy/latency_baseline.h
@@ -20,6 +20,8 @@
   struct Verdict {
     bool late_head = false;
     bool slow_events = false;
+    /// Whether the events were slow already when the answer came under way.
+    bool slow_early_events = false;
   };
   Verdict Judge(const AttemptReport& report) const;
 
--- a/src/bamboodock/policy/rollout_schedule.h
+++ b/src/bamboodock/policy/rollout_schedule.h
@@ -26,6 +26,8 @@
   double progress = 0;
   /// Whether the new version was found to be bad from the evidence of all entries.
   bool bad = false;
+  /// Whether the evidence speaks against the new version without proving anything.
+  bool suspect = false;
   /// Answers of the new version, in total over all entries.
   std::uint64_t answers = 0;
   /// Open requests at the old version, in total over all entries.
@@ -91,15 +93,15 @@
   return schedule;
 }
 
-/// Share of the traffic that goes to the new version in the state `snapshot`.
+/// Share of the traffic that goes to the new version in the state `snapshot`. A suspect version
+/// stays on trial, even beyond its time limit: a late rollout does less harm than a bad one.
 inline Ratio NewVersionShare(const RolloutSchedule& schedule, const RolloutSnapshot& snapshot) {
   if (snapshot.state == RolloutState::kCompleted) return Ratio(1);
   if (snapshot.state == RolloutState::kRolledBack || snapshot.bad) return Ratio(0);
   if (snapshot.progress < schedule.trial_begin) return Ratio(0);
   const double trial = schedule.trial_share.value();
-  if (snapshot.progress < schedule.move_begin || snapshot.answers < schedule.min_answers) {
-    return Ratio(trial);
-  }
+  const bool too_little_evidence = snapshot.answers < schedule.min_answers || snapshot.suspect;
+  if (snapshot.progress < schedule.move_begin || too_little_evidence) return Ratio(trial);
   if (snapshot.progress >= schedule.move_end) return Ratio(1);
   const double moved =
       (snapshot.progress - schedule.move_begin) / (schedule.move_end - schedule.move_begin);
--- a/src/bamboodock/policy/version_comparison.h
+++ b/src/bamboodock/policy/version_comparison.h
@@ -38,16 +38,33 @@
   return share - old_share > limits.min_excess && share - old_share > limits.min_z_score * error;
 }
 
+/// How sure a finding about a version must be.
+enum class Certainty : std::uint8_t {
+  /// Sure enough to withdraw the version.
+  kProof,
+  /// Sure enough not to give it all traffic.
+  kSuspicion,
+};
+
 /// Whether the new version, `target`, fails or is slow significantly more often than the old one.
-inline bool IsWorseVersion(const EvidenceCounters& target, const EvidenceCounters& old) {
+inline bool IsWorseVersion(const EvidenceCounters& target, const EvidenceCounters& old,
+                           Certainty certainty = Certainty::kProof) {
   // One in eight answers of a healthy engine that reads long prompts is slow.
-  constexpr ComparisonLimits kErrors{0.01, 50, 4.0, 0.03, 5};
-  constexpr ComparisonLimits kSlow{0.12, 50, 3.5, 0.12, 8};
+  ComparisonLimits errors{0.01, 50, 4.0, 0.03, 5};
+  ComparisonLimits slow{0.12, 50, 3.5, 0.12, 8};
   // With many streams, one in four streams of a healthy engine is slow.
-  constexpr ComparisonLimits kSlowStreams{0.25, 20, 3.5, 0.3, 5};
-  return IsWorse(kErrors, target.errors, target.answers, old.errors, old.answers) ||
-         IsWorse(kSlow, target.slow, target.answers, old.slow, old.answers) ||
-         IsWorse(kSlowStreams, target.slow_streams, target.streams, old.slow_streams, old.streams);
+  ComparisonLimits slow_streams{0.25, 20, 3.5, 0.3, 5};
+  if (certainty == Certainty::kSuspicion) {
+    constexpr double kSuspicionZScore = 2.0;
+    constexpr std::uint64_t kSuspicionMinBad = 3;
+    for (ComparisonLimits* limits : {&errors, &slow, &slow_streams}) {
+      limits->min_z_score = kSuspicionZScore;
+      limits->min_bad = kSuspicionMinBad;
+    }
+  }
+  return IsWorse(errors, target.errors, target.answers, old.errors, old.answers) ||
+         IsWorse(slow, target.slow, target.answers, old.slow, old.answers) ||
+         IsWorse(slow_streams, target.slow_streams, target.streams, old.slow_streams, old.streams);
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -118,6 +118,8 @@
   std::optional<Duration> head_latency;
   /// Mean time between events of a stream; empty when fewer than two events arrived.
   std::optional<Duration> event_interval;
+  /// The same when the answer came under way, as reported then; empty when it did not.
+  std::optional<Duration> early_event_interval;
   /// Events of a complete stream, over all of its attempts; 0 otherwise.
   std::uint64_t stream_events = 0;
   /// Largest number of output tokens that the caller accepts; 0 when it is not stated.
@@ -132,4 +134,11 @@
   ModelId model;
 };
 
+/// Reports that the answer of an attempt is under way. Slow answers end so late that evidence from
+/// their ends only would miss them.
+struct UnderWayReport {
+  /// The attempt so far; `outcome` has no meaning.
+  AttemptReport attempt;
+};
+
 }  // namespace bamboodock
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(VersionWithoutOrderIsDelayed);
   CPPUNIT_TEST(SlowTargetDoesNotShiftBaseline);
   CPPUNIT_TEST(VersionWithSlowEventsIsRolledBack);
+  CPPUNIT_TEST(SlowStreamsCountBeforeTheyEnd);
   CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
   CPPUNIT_TEST(UnsentAttemptsDoNotUseTheRepeatBudget);
@@ -306,6 +307,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_->Count(Event::kRolloutJudgedBad));
   }
 
+  // Guards against completion of a version whose answers are so slow that few of them end during
+  // its trial (hasty of kbg-release, seed 3), and against streams that count twice.
+  void SlowStreamsCountBeforeTheyEnd() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2", "z1", "v2")}, {}});
+    OrderRollout();
+    clock_->Advance(seconds(4));
+    Confirm();
+    state_->Tick();
+    for (int i = 0; i < 30; ++i) {
+      AttemptReport old = Answer("e1", "v1", milliseconds(50));
+      old.event_interval = milliseconds(45);
+      old.early_event_interval = old.event_interval;
+      state_->Apply(UnderWayReport{old});
+      state_->Apply(old);
+      AttemptReport target = Answer("e2", "v2", milliseconds(50));
+      target.event_interval = milliseconds(i % 2 == 0 ? 45 : 360);
+      target.early_event_interval = target.event_interval;
+      state_->Apply(UnderWayReport{target});
+    }
+    const RolloutEvidence evidence = state_->MakeReport().rollouts.at(0);
+    CPPUNIT_ASSERT(evidence.answers.streams == 30 && evidence.answers.slow_streams == 15);
+    CPPUNIT_ASSERT(evidence.old_answers.streams == 30 && evidence.old_answers.answers == 30);
+    state_->Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_->Count(Event::kRolloutJudgedBad));
+  }
+
   // Guards against a retry at an endpoint that the request has already tried.
   void RetriesAvoidTriedEndpoints() {
     Install(1, {"k1"});
--- a/test/policy/rollout_schedule_test.cc
+++ b/test/policy/rollout_schedule_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(RolloutScheduleTest);
   CPPUNIT_TEST(TrialStaysSmallInFirstHalf);
   CPPUNIT_TEST(NoTrafficMovesWithoutAnswers);
+  CPPUNIT_TEST(SuspectVersionStaysOnTrial);
   CPPUNIT_TEST(BadVersionGetsNoTraffic);
   CPPUNIT_TEST(ShareNeverDecreases);
   CPPUNIT_TEST(CompletesWhenOldVersionIsIdle);
@@ -35,6 +36,19 @@
     CPPUNIT_ASSERT(Share(0.95, 100) == 1);
   }
 
+  // Guards against all traffic for a version, and against its completion, while the evidence speaks
+  // against it without proving anything (hasty of kbg-release, seed 3).
+  void SuspectVersionStaysOnTrial() {
+    for (const double progress : {0.9, 0.95, 0.99, 1.5}) {
+      RolloutSnapshot snapshot = Snapshot(progress, 100);
+      snapshot.suspect = true;
+      CPPUNIT_ASSERT(NewVersionShare(schedule_, snapshot) == schedule_.trial_share);
+      CPPUNIT_ASSERT(NextState(schedule_, snapshot) == RolloutState::kRunning);
+      snapshot.suspect = false;
+      CPPUNIT_ASSERT(progress < 0.95 || NewVersionShare(schedule_, snapshot).value() == 1);
+    }
+  }
+
   // Guards against further traffic to a version that was found to be bad.
   void BadVersionGetsNoTraffic() {
     RolloutSnapshot snapshot = Snapshot(0.9, 100);
--- a/test/policy/version_comparison_test.cc
+++ b/test/policy/version_comparison_test.cc
@@ -31,6 +31,8 @@
 class VersionComparisonTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(VersionComparisonTest);
   CPPUNIT_TEST(GoodVersionsAreKept);
+  CPPUNIT_TEST(SlowVersionIsSuspectedBeforeItIsProven);
+  CPPUNIT_TEST(GoodVersionsAreSeldomSuspected);
   CPPUNIT_TEST(FailingVersionsAreFoundEarly);
   CPPUNIT_TEST(SlowVersionsAreFoundInTheTrial);
   CPPUNIT_TEST(FaultsOfBothVersionsCancelOut);
@@ -49,6 +51,43 @@
     CPPUNIT_ASSERT(found_worse <= 4);
   }
 
+  // Guards against a slow version that gets all traffic because its trial had 17 answers (hasty of
+  // kbg-release, seed 3).
+  void SlowVersionIsSuspectedBeforeItIsProven() {
+    EvidenceCounters target;
+    target.answers = 17;
+    target.slow = 1;
+    target.streams = 7;
+    target.slow_streams = 5;
+    EvidenceCounters old;
+    old.answers = 754;
+    old.slow = 85;
+    old.streams = 438;
+    old.slow_streams = 101;
+    CPPUNIT_ASSERT(!IsWorseVersion(target, old));
+    CPPUNIT_ASSERT(IsWorseVersion(target, old, Certainty::kSuspicion));
+  }
+
+  // Guards against good versions that miss the time limit of their rollout: at most 1 in 20.
+  void GoodVersionsAreSeldomSuspected() {
+    int suspected = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+      Random random(seed);
+      EvidenceCounters target;
+      EvidenceCounters old;
+      target.answers = target.streams = 40;
+      old.answers = old.streams = 700;
+      for (int i = 0; i < 740; ++i) {
+        EvidenceCounters& counters = i < 40 ? target : old;
+        if (random.Uniform() < 0.005) ++counters.errors;
+        if (random.Uniform() < 0.12) ++counters.slow;
+        if (random.Uniform() < 0.3) ++counters.slow_streams;
+      }
+      if (IsWorseVersion(target, old, Certainty::kSuspicion)) ++suspected;
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(suspected), suspected <= 20);
+  }
+
   // Guards against a version that fails half of its requests and stays for long.
   void FailingVersionsAreFoundEarly() {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
