Bound the delay of probes before it overflows

Cause: found in review: the delay doubles for each probe that crashed and was capped only afterwards; after 28 of them it overflows, and every request with the part is a probe. Change: the cap applies at each step. Measured: 40 further probes in ProbesThatCrashBecomeRarer failed before and pass.

--- a/src/bamboodock/policy/prompt_quarantine.cc
+++ b/src/bamboodock/policy/prompt_quarantine.cc
@@ -289,9 +289,10 @@
 MonotonicTime PromptQuarantine::ProbeTime(const Suspect& suspect) {
   Duration delay = kProbeDelay;
   for (std::size_t i = 1; i < suspect.losses.size(); ++i) {
-    if (suspect.losses[i].at - suspect.losses[i - 1].at > kProbeGap) delay *= 2;
+    const bool after_gap = suspect.losses[i].at - suspect.losses[i - 1].at > kProbeGap;
+    if (after_gap) delay = std::min<Duration>(2 * delay, kMaxProbeDelay);
   }
-  return suspect.losses.back().at + std::min<Duration>(delay, kMaxProbeDelay);
+  return suspect.losses.back().at + delay;
 }
 
 PromptDecision PromptQuarantine::Decide(const std::vector<PromptPartHash>& parts,
--- a/test/policy/prompt_quarantine_test.cc
+++ b/test/policy/prompt_quarantine_test.cc
@@ -317,6 +317,13 @@
       fleet.Advance(seconds(1));
     }
     CPPUNIT_ASSERT_EQUAL(4, probes);
+    for (int probe = 0; probe < 40; ++probe) {
+      fleet.Advance(PromptQuarantine::kMaxProbeDelay);
+      CPPUNIT_ASSERT(Verdict(fleet, 0, parts) == PromptVerdict::kProbe);
+      fleet.Crash(0, parts);
+      fleet.Advance(PromptQuarantine::kMaxProbeDelay - seconds(1));
+      CPPUNIT_ASSERT(Verdict(fleet, 0, parts) == PromptVerdict::kRefuse);
+    }
   }
 
   // Guards against memory and datagrams that grow with the number of parts that callers send.
