Mend the linter's findings

Change: braces, reserved vectors, no temporary strings; the codec's test takes the message out of the variant with std::get, which fails as before when it is another one.

--- a/src/bamboodock/policy/prompt_quarantine.cc
+++ b/src/bamboodock/policy/prompt_quarantine.cc
@@ -349,6 +349,7 @@
   if (suspects.size() > kMaxReportedSuspects) suspects.resize(kMaxReportedSuspects);
   if (cleared.size() > kMaxReportedCleared) cleared.resize(kMaxReportedCleared);
   std::vector<PromptPartEvidence> report;
+  report.reserve(suspects.size() + cleared.size());
   for (const auto& [weight, part] : suspects) {
     report.push_back(MakeEvidence(part, suspects_.at(part)));
   }
--- a/src/bamboodock/replay/quarantine_replay.cc
+++ b/src/bamboodock/replay/quarantine_replay.cc
@@ -61,9 +61,10 @@
         {PromptVerdict::kProbe, "probe"},
         {PromptVerdict::kRefuse, "refuse"},
     };
-    const std::string name = EnumName(kNames, decision.verdict);
-    if (decision.verdict == PromptVerdict::kServe) return name;
-    return name + " " + line.fields.List("parts").at(decision.index);
+    std::string text = EnumName(kNames, decision.verdict);
+    if (decision.verdict == PromptVerdict::kServe) return text;
+    text += " " + line.fields.List("parts").at(decision.index);
+    return text;
   }
 
   PromptQuarantine quarantine_;
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -33,9 +33,9 @@
     evidence.old_answers.answers = 90;
     report.rollouts.push_back(evidence);
     const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
-    const auto* decoded = message ? std::get_if<PeerReport>(&*message) : nullptr;
-    CPPUNIT_ASSERT(decoded && decoded->host == report.host &&
-                   decoded->incarnation == report.incarnation);
+    CPPUNIT_ASSERT(message);
+    const auto* decoded = &std::get<PeerReport>(message.value());
+    CPPUNIT_ASSERT(decoded->host == report.host && decoded->incarnation == report.incarnation);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->rollouts.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->pending.size());
     CPPUNIT_ASSERT(decoded->pending[0].work == Tokens(12000));
@@ -66,8 +66,9 @@
     CPPUNIT_ASSERT(bytes.size() <= 1400);
     const MonotonicTime later = kNow + std::chrono::seconds(7);
     const auto message = DecodePeerMessage(bytes, later);
-    const auto* decoded = message ? std::get_if<PromptEvidenceReport>(&*message) : nullptr;
-    CPPUNIT_ASSERT(decoded && decoded->host == report.host && decoded->parts.size() == 12);
+    CPPUNIT_ASSERT(message);
+    const auto* decoded = &std::get<PromptEvidenceReport>(message.value());
+    CPPUNIT_ASSERT(decoded->host == report.host && decoded->parts.size() == 12);
     CPPUNIT_ASSERT(!decoded->parts[0].survived_at);
     CPPUNIT_ASSERT(later - *decoded->parts[3].survived_at == std::chrono::minutes(3));
     const LostAnswer& loss = decoded->parts[3].losses[2];
--- a/test/command/router/crashing_prompt_test.cc
+++ b/test/command/router/crashing_prompt_test.cc
@@ -1,4 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <list>
@@ -71,10 +72,11 @@
     for (int i = 0; i < kCrashingRequests; ++i) {
       RegisterRestarted(router, servers);
       const std::string number = std::to_string(i);
-      router.Request("c" + number, Prompt("first:9,second:9,bad:9,own" + number + ":9"));
+      const std::string own = fmt::format("own{}:9", i);
+      router.Request("c" + number, Prompt("first:9,second:9,bad:9," + own));
       RegisterRestarted(router, servers);
       const std::string sound = router.Request(
-          "s" + number, Prompt("first:9,second:9,other" + number + ":9,own" + number + ":9"));
+          "s" + number, Prompt(fmt::format("first:9,second:9,other{}:9,{}", i, own)));
       CPPUNIT_ASSERT_MESSAGE(sound, sound.find("id: 5") != std::string::npos);
     }
     std::int64_t crashes = 0;
--- a/test/policy/prompt_quarantine_test.cc
+++ b/test/policy/prompt_quarantine_test.cc
@@ -115,8 +115,7 @@
 
   // Shows what the plain baseline does under the same load.
   void CountingAloneBlamesSoundParts() {
-    std::vector<Parts> lost;
-    for (int i = 0; i < 4; ++i) lost.push_back({kFirst, kSecond, kBad});
+    std::vector<Parts> lost(4, {kFirst, kSecond, kBad});
     lost.push_back(Sound(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, BlamedByCounting(lost));
   }
@@ -154,8 +153,9 @@
     Fleet fleet(1);
     for (std::uint64_t wave = 0; wave < 6; ++wave) {
       fleet.Crash(0, {kFirst, kSecond});
-      for (std::uint64_t i = 0; i < 3; ++i)
+      for (std::uint64_t i = 0; i < 3; ++i) {
         fleet.Crash(0, {kFirst, PromptPartHash(50 + 4 * wave + i)});
+      }
       fleet.Advance(seconds(1));
       fleet.Survive(0, {kFirst});
     }
@@ -180,8 +180,8 @@
     Random random(7);
     Fleet fleet(3);
     for (int crash = 0; crash < 300; ++crash) {
-      std::vector<Parts> others;
-      for (int i = 0; i < 6; ++i) others.push_back(Sound(random() % 40));
+      std::vector<Parts> others(6);
+      for (Parts& parts : others) parts = Sound(random() % 40);
       fleet.Crash(random() % 3, Sound(random() % 40), others);
       for (int i = 0; i < 20; ++i) {
         fleet.Advance(milliseconds(25));
