Count a stream that stalls under way as slow

Callers would see: a version whose streams begin well and then stall, completed. Cause: found in review. Change: the end of such an answer counts as slow when it was silent, unless its head was late already. Measured: StreamThatStallsUnderWayIsSlow failed before (1 slow answer instead of 2) and passes; 334 unit tests pass.

--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -161,6 +161,7 @@
   if (!judged || dropped) return;
   if (failed) ++counters.errors;
   if (report.early_event_interval) {
+    if (silent && !latency.late_head) ++counters.slow;
     if (latency.slow_events && !latency.slow_early_events) ++counters.slow_streams;
     return;
   }
--- a/test/command/router/rollout_controller_test.cc
+++ b/test/command/router/rollout_controller_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST_SUITE(RolloutControllerTest);
   CPPUNIT_TEST(EvidenceOfOtherEntriesCounts);
   CPPUNIT_TEST(RestartedEntryKeepsItsEvidence);
+  CPPUNIT_TEST(StreamThatStallsUnderWayIsSlow);
   CPPUNIT_TEST(BadVersionIsExcludedAtOnce);
   CPPUNIT_TEST(OldProgressDoesNotCompleteNewOrder);
   CPPUNIT_TEST(TrialExposureIsBounded);
@@ -73,6 +74,20 @@
     CPPUNIT_ASSERT(writes.size() == 1 && writes[0].state == RolloutState::kCompleted);
   }
 
+  // Guards against a version whose streams begin well and then stall, and against a late stream
+  // that counts twice.
+  void StreamThatStallsUnderWayIsSlow() {
+    AttemptReport report = Report(AttemptOutcome::kSilent);
+    report.early_event_interval = milliseconds(45);
+    for (const bool late : {false, true}) {
+      controller_.OnUnderWay(report, {late, false, false});
+      controller_.OnReport(report, {late, false, false});
+    }
+    const EvidenceCounters counters = controller_.Evidence().at(0).answers;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counters.answers);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counters.slow);
+  }
+
   // Guards against a bad version that keeps its traffic until the new state is written to the
   // store.
   void BadVersionIsExcludedAtOnce() {
