Compare the silence of versions on its own

Cause: a fifth of its requests got no answer within the timeout, against one in forty of the old version; but silence was counted among late answers only, of which the old version had a fifth as well. Change: EvidenceCounters::silent, sent to the other entries (those of before ignore it), with limits of its own.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -9,8 +9,8 @@
 using Json = nlohmann::json;
 
 Json EncodeCounters(const EvidenceCounters& counters) {
-  return Json::array(
-      {counters.answers, counters.errors, counters.slow, counters.streams, counters.slow_streams});
+  return Json::array({counters.answers, counters.errors, counters.slow, counters.streams,
+                      counters.slow_streams, counters.silent});
 }
 
 EvidenceCounters DecodeCounters(const Json& json) {
@@ -21,6 +21,7 @@
   // Entries of the previous release send three counts and keep running during a rolling upgrade.
   if (json.size() > 3) counters.streams = json.at(3).get<std::uint64_t>();
   if (json.size() > 4) counters.slow_streams = json.at(4).get<std::uint64_t>();
+  if (json.size() > 5) counters.silent = json.at(5).get<std::uint64_t>();
   return counters;
 }
 
--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -14,8 +14,9 @@
 constexpr double kUsableExposureFraction = 0.7;
 
 std::string Describe(const EvidenceCounters& counters) {
-  return fmt::format("answers={} errors={} slow={} streams={} slow_streams={}", counters.answers,
-                     counters.errors, counters.slow, counters.streams, counters.slow_streams);
+  return fmt::format("answers={} errors={} slow={} silent={} streams={} slow_streams={}",
+                     counters.answers, counters.errors, counters.slow, counters.silent,
+                     counters.streams, counters.slow_streams);
 }
 
 }  // namespace
@@ -160,6 +161,7 @@
                       report.outcome == AttemptOutcome::kCancelled || failed || silent;
   if (!judged || dropped) return;
   if (failed) ++counters.errors;
+  if (silent) ++counters.silent;
   if (report.early_event_interval) {
     if (silent && !latency.late_head) ++counters.slow;
     if (latency.slow_events && !latency.slow_early_events) ++counters.slow_streams;
--- a/src/bamboodock/policy/evidence_counters.h
+++ b/src/bamboodock/policy/evidence_counters.h
@@ -15,6 +15,8 @@
   /// Streams whose event interval was measured, and those of them whose interval was too long.
   std::uint64_t streams = 0;
   std::uint64_t slow_streams = 0;
+  /// Answers of which nothing more came within the timeout; included in `slow`.
+  std::uint64_t silent = 0;
 
   friend bool operator==(const EvidenceCounters&, const EvidenceCounters&) = default;
 
@@ -25,6 +27,7 @@
     slow += other.slow;
     streams += other.streams;
     slow_streams += other.slow_streams;
+    silent += other.silent;
     ratings += other.ratings;
     bad_ratings += other.bad_ratings;
     return *this;
@@ -39,7 +42,8 @@
             std::max(a.ratings, b.ratings),
             std::max(a.bad_ratings, b.bad_ratings),
             std::max(a.streams, b.streams),
-            std::max(a.slow_streams, b.slow_streams)};
+            std::max(a.slow_streams, b.slow_streams),
+            std::max(a.silent, b.silent)};
   }
 };
 
--- a/src/bamboodock/policy/version_comparison.h
+++ b/src/bamboodock/policy/version_comparison.h
@@ -52,18 +52,21 @@
   // One in eight answers of a healthy engine that reads long prompts is slow.
   ComparisonLimits errors{0.01, 50, 4.0, 0.03, 5};
   ComparisonLimits slow{0.12, 50, 3.5, 0.12, 8};
+  // Silence is much rarer than lateness among healthy engines, so it is compared on its own.
+  ComparisonLimits silent{0.03, 50, 3.5, 0.1, 4};
   // With many streams, one in four streams of a healthy engine is slow.
   ComparisonLimits slow_streams{0.25, 20, 3.5, 0.3, 5};
   if (certainty == Certainty::kSuspicion) {
     constexpr double kSuspicionZScore = 2.0;
     constexpr std::uint64_t kSuspicionMinBad = 3;
-    for (ComparisonLimits* limits : {&errors, &slow, &slow_streams}) {
+    for (ComparisonLimits* limits : {&errors, &slow, &silent, &slow_streams}) {
       limits->min_z_score = kSuspicionZScore;
       limits->min_bad = kSuspicionMinBad;
     }
   }
   return IsWorse(errors, target.errors, target.answers, old.errors, old.answers) ||
          IsWorse(slow, target.slow, target.answers, old.slow, old.answers) ||
+         IsWorse(silent, target.silent, target.answers, old.silent, old.answers) ||
          IsWorse(slow_streams, target.slow_streams, target.streams, old.slow_streams, old.streams);
 }
 
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -30,6 +30,7 @@
     evidence.answers.answers = 12;
     evidence.answers.errors = 2;
     evidence.answers.slow = 1;
+    evidence.answers.silent = 1;
     evidence.old_answers.answers = 90;
     report.rollouts.push_back(evidence);
     const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
--- a/test/command/router/rollout_controller_test.cc
+++ b/test/command/router/rollout_controller_test.cc
@@ -86,6 +86,7 @@
     const EvidenceCounters counters = controller_.Evidence().at(0).answers;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counters.answers);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counters.slow);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counters.silent);
   }
 
   // Guards against a bad version that keeps its traffic until the new state is written to the
--- a/test/policy/version_comparison_test.cc
+++ b/test/policy/version_comparison_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST_SUITE(VersionComparisonTest);
   CPPUNIT_TEST(GoodVersionsAreKept);
   CPPUNIT_TEST(SlowVersionIsSuspectedBeforeItIsProven);
+  CPPUNIT_TEST(SilentVersionIsFoundAmongLateAnswers);
   CPPUNIT_TEST(GoodVersionsAreSeldomSuspected);
   CPPUNIT_TEST(FailingVersionsAreFoundEarly);
   CPPUNIT_TEST(SlowVersionsAreFoundInTheTrial);
@@ -68,6 +69,21 @@
     CPPUNIT_ASSERT(IsWorseVersion(target, old, Certainty::kSuspicion));
   }
 
+  // Guards against a version that is silent for a fifth of its requests and is completed, because
+  // as many answers of the old version are merely late (hasty varied on EMVA, seed 166779479442).
+  void SilentVersionIsFoundAmongLateAnswers() {
+    EvidenceCounters target;
+    target.answers = 21;
+    target.slow = target.silent = 5;
+    EvidenceCounters old;
+    old.answers = 722;
+    old.slow = 153;
+    old.silent = 30;
+    CPPUNIT_ASSERT(IsWorseVersion(target, old));
+    target.silent = 0;
+    CPPUNIT_ASSERT(!IsWorseVersion(target, old));
+  }
+
   // Guards against good versions that miss the time limit of their rollout: at most 1 in 20.
   void GoodVersionsAreSeldomSuspected() {
     int suspected = 0;
@@ -81,6 +97,7 @@
         EvidenceCounters& counters = i < 40 ? target : old;
         if (random.Uniform() < 0.005) ++counters.errors;
         if (random.Uniform() < 0.12) ++counters.slow;
+        if (random.Uniform() < 0.04) ++counters.silent;
         if (random.Uniform() < 0.3) ++counters.slow_streams;
       }
       if (IsWorseVersion(target, old, Certainty::kSuspicion)) ++suspected;
