Find versions whose streams are evenly slow

Cause: a stream counted as slow above twice the mean interval of the old version. A few stalled streams raise the mean, so all streams of the new version were twice as slow as the median (85 to 200 ms against 47) and no more often above the limit than those of the old one. Change: UpperQuartile estimates the upper quartile of the interval by route and model; the share of streams above it is compared between the versions, a quarter being normal. The limit of twice the mean stays beside it.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -10,7 +10,8 @@
 
 Json EncodeCounters(const EvidenceCounters& counters) {
   return Json::array({counters.answers, counters.errors, counters.slow, counters.streams,
-                      counters.slow_streams, counters.silent});
+                      counters.slow_streams, counters.silent, counters.paced,
+                      counters.above_quartile});
 }
 
 EvidenceCounters DecodeCounters(const Json& json) {
@@ -22,6 +23,10 @@
   if (json.size() > 3) counters.streams = json.at(3).get<std::uint64_t>();
   if (json.size() > 4) counters.slow_streams = json.at(4).get<std::uint64_t>();
   if (json.size() > 5) counters.silent = json.at(5).get<std::uint64_t>();
+  if (json.size() > 7) {
+    counters.paced = json.at(6).get<std::uint64_t>();
+    counters.above_quartile = json.at(7).get<std::uint64_t>();
+  }
   return counters;
 }
 
--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -14,9 +14,11 @@
 constexpr double kUsableExposureFraction = 0.7;
 
 std::string Describe(const EvidenceCounters& counters) {
-  return fmt::format("answers={} errors={} slow={} silent={} streams={} slow_streams={}",
-                     counters.answers, counters.errors, counters.slow, counters.silent,
-                     counters.streams, counters.slow_streams);
+  return fmt::format(
+      "answers={} errors={} slow={} silent={} streams={} slow_streams={} paced={} "
+      "above_quartile={}",
+      counters.answers, counters.errors, counters.slow, counters.silent, counters.streams,
+      counters.slow_streams, counters.paced, counters.above_quartile);
 }
 
 }  // namespace
@@ -144,6 +146,8 @@
   if (counters == nullptr) return;
   ++counters->answers;
   ++counters->streams;
+  ++counters->paced;
+  if (latency.above_quartile) ++counters->above_quartile;
   if (latency.late_head) ++counters->slow;
   if (latency.slow_early_events) ++counters->slow_streams;
 }
--- a/src/bamboodock/policy/evidence_counters.h
+++ b/src/bamboodock/policy/evidence_counters.h
@@ -17,6 +17,10 @@
   std::uint64_t slow_streams = 0;
   /// Answers of which nothing more came within the timeout; included in `slow`.
   std::uint64_t silent = 0;
+  /// Streams whose pace when they came under way was measured, and those of them slower than three
+  /// quarters of the streams of the baseline.
+  std::uint64_t paced = 0;
+  std::uint64_t above_quartile = 0;
 
   friend bool operator==(const EvidenceCounters&, const EvidenceCounters&) = default;
 
@@ -28,6 +32,8 @@
     streams += other.streams;
     slow_streams += other.slow_streams;
     silent += other.silent;
+    paced += other.paced;
+    above_quartile += other.above_quartile;
     ratings += other.ratings;
     bad_ratings += other.bad_ratings;
     return *this;
@@ -43,7 +49,9 @@
             std::max(a.bad_ratings, b.bad_ratings),
             std::max(a.streams, b.streams),
             std::max(a.slow_streams, b.slow_streams),
-            std::max(a.silent, b.silent)};
+            std::max(a.silent, b.silent),
+            std::max(a.paced, b.paced),
+            std::max(a.above_quartile, b.above_quartile)};
   }
 };
 
--- a/src/bamboodock/policy/latency_baseline.cc
+++ b/src/bamboodock/policy/latency_baseline.cc
@@ -51,6 +51,9 @@
     const double interval = Seconds(*report.event_interval).count();
     Smooth(event_interval_.try_emplace(key, interval).first->second, interval, kSlowEventsRatio);
   }
+  if (report.early_event_interval) {
+    early_event_interval_[key].Add(Seconds(*report.early_event_interval).count());
+  }
 }
 
 LatencyBaseline::Verdict LatencyBaseline::Judge(const AttemptReport& report) const {
@@ -68,6 +71,10 @@
     verdict.slow_events = is_slow(report.event_interval);
     verdict.slow_early_events = is_slow(report.early_event_interval);
   }
+  const auto early = early_event_interval_.find(key);
+  if (report.early_event_interval && early != early_event_interval_.end()) {
+    verdict.above_quartile = early->second.IsAbove(Seconds(*report.early_event_interval).count());
+  }
   return verdict;
 }
 
--- a/src/bamboodock/policy/latency_baseline.h
+++ b/src/bamboodock/policy/latency_baseline.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "bamboodock/core/ids.h"
+#include "bamboodock/policy/upper_quartile.h"
 #include "bamboodock/routing/attempt_plan.h"
 
 namespace bamboodock {
@@ -22,6 +23,8 @@
     bool slow_events = false;
     /// Whether the events were slow already when the answer came under way.
     bool slow_early_events = false;
+    /// Whether they were then slower than three quarters of the streams of the baseline.
+    bool above_quartile = false;
   };
   Verdict Judge(const AttemptReport& report) const;
 
@@ -32,6 +35,8 @@
   std::map<Key, double> relative_head_latency_;
   /// Mean interval between events, in seconds.
   std::map<Key, double> event_interval_;
+  /// Upper quartile of the interval between events when answers come under way, in seconds.
+  std::map<Key, UpperQuartile> early_event_interval_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/version_comparison.h
+++ b/src/bamboodock/policy/version_comparison.h
@@ -56,10 +56,11 @@
   ComparisonLimits silent{0.03, 50, 3.5, 0.1, 4};
   // With many streams, one in four streams of a healthy engine is slow.
   ComparisonLimits slow_streams{0.25, 20, 3.5, 0.3, 5};
+  ComparisonLimits quartile{0.25, 20, 3.5, 0.3, 5};
   if (certainty == Certainty::kSuspicion) {
     constexpr double kSuspicionZScore = 2.0;
     constexpr std::uint64_t kSuspicionMinBad = 3;
-    for (ComparisonLimits* limits : {&errors, &slow, &silent, &slow_streams}) {
+    for (ComparisonLimits* limits : {&errors, &slow, &silent, &slow_streams, &quartile}) {
       limits->min_z_score = kSuspicionZScore;
       limits->min_bad = kSuspicionMinBad;
     }
@@ -67,7 +68,9 @@
   return IsWorse(errors, target.errors, target.answers, old.errors, old.answers) ||
          IsWorse(slow, target.slow, target.answers, old.slow, old.answers) ||
          IsWorse(silent, target.silent, target.answers, old.silent, old.answers) ||
-         IsWorse(slow_streams, target.slow_streams, target.streams, old.slow_streams, old.streams);
+         IsWorse(slow_streams, target.slow_streams, target.streams, old.slow_streams,
+                 old.streams) ||
+         IsWorse(quartile, target.above_quartile, target.paced, old.above_quartile, old.paced);
 }
 
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -31,6 +31,8 @@
     evidence.answers.errors = 2;
     evidence.answers.slow = 1;
     evidence.answers.silent = 1;
+    evidence.answers.paced = 9;
+    evidence.answers.above_quartile = 4;
     evidence.old_answers.answers = 90;
     report.rollouts.push_back(evidence);
     const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
--- a/test/policy/version_comparison_test.cc
+++ b/test/policy/version_comparison_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(GoodVersionsAreKept);
   CPPUNIT_TEST(SlowVersionIsSuspectedBeforeItIsProven);
   CPPUNIT_TEST(SilentVersionIsFoundAmongLateAnswers);
+  CPPUNIT_TEST(EvenlySlowStreamsAreFound);
   CPPUNIT_TEST(GoodVersionsAreSeldomSuspected);
   CPPUNIT_TEST(FailingVersionsAreFoundEarly);
   CPPUNIT_TEST(SlowVersionsAreFoundInTheTrial);
@@ -84,6 +85,21 @@
     CPPUNIT_ASSERT(!IsWorseVersion(target, old));
   }
 
+  // Guards against a version all of whose streams are twice as slow as the median of the old one,
+  // of which as many exceed twice the mean, since that is raised by a few (hasty varied on EMVA,
+  // seed 8).
+  void EvenlySlowStreamsAreFound() {
+    EvidenceCounters target;
+    target.answers = 33;
+    target.paced = 10;
+    target.above_quartile = 9;
+    EvidenceCounters old;
+    old.answers = 764;
+    old.paced = 300;
+    old.above_quartile = 80;
+    CPPUNIT_ASSERT(IsWorseVersion(target, old));
+  }
+
   // Guards against good versions that miss the time limit of their rollout: at most 1 in 20.
   void GoodVersionsAreSeldomSuspected() {
     int suspected = 0;
@@ -91,14 +107,15 @@
       Random random(seed);
       EvidenceCounters target;
       EvidenceCounters old;
-      target.answers = target.streams = 40;
-      old.answers = old.streams = 700;
+      target.answers = target.streams = target.paced = 40;
+      old.answers = old.streams = old.paced = 700;
       for (int i = 0; i < 740; ++i) {
         EvidenceCounters& counters = i < 40 ? target : old;
         if (random.Uniform() < 0.005) ++counters.errors;
         if (random.Uniform() < 0.12) ++counters.slow;
         if (random.Uniform() < 0.04) ++counters.silent;
         if (random.Uniform() < 0.3) ++counters.slow_streams;
+        if (random.Uniform() < 0.25) ++counters.above_quartile;
       }
       if (IsWorseVersion(target, old, Certainty::kSuspicion)) ++suspected;
     }
