Log what tells the causes of late removals apart

Cause: lines 600, 601 and 705 name neither how long a call hung, nor whether the store answered other calls meanwhile, nor the revision of a removal that is held back. Change: 600 and 601 give the time of the last failed call and of the last answer for another table, 601 the newest revision; 731 removal_deferred gives the revision of the removal and for how long the endpoint is kept. ToMillis moves to core/units.h.

--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -76,10 +76,6 @@
   }
 }
 
-std::int64_t ToMillis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 /// Maps the priority of a request to the ten levels of the engine, of which 0 is the most urgent.
 std::uint32_t EnginePriority(Priority priority) { return std::min(priority.value() * 2 + 1, 9U); }
 
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -81,20 +81,41 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
-void StoreDuty::RecordFailure(TableWatch& watch, const std::string& reason) {
+void StoreDuty::RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason) {
   ++watch.failures;
+  const MonotonicTime now = clock_.Now();
+  watch.last_failed_call = now - sent;
   if (watch.failing) return;
   watch.failing = true;
-  log_.Write(Event::kStoreFailed, RequestId(),
-             fmt::format("table={} reason='{}'", watch.table, reason));
+  watch.failing_since = now;
+  log_.Write(
+      Event::kStoreFailed, RequestId(),
+      fmt::format("table={} reason='{}' call_ms={} answered_elsewhere_ms_ago={}", watch.table,
+                  reason, ToMillis(now - sent), ToMillis(now - AnsweredElsewhereAt(watch))));
 }
 
-void StoreDuty::RecordSuccess(TableWatch& watch) {
+void StoreDuty::RecordSuccess(TableWatch& watch, const StoreAnswer& answer) {
+  const MonotonicTime now = clock_.Now();
+  watch.answered_at = now;
   watch.failures = 0;
   if (!watch.failing) return;
   watch.failing = false;
-  watch.recovered_at = clock_.Now();
-  log_.Write(Event::kStoreBack, RequestId(), "table=" + watch.table);
+  watch.recovered_at = now;
+  watch.recovered_revision = answer.revision;
+  log_.Write(
+      Event::kStoreBack, RequestId(),
+      fmt::format("table={} revision={} failing_ms={} last_failed_call_ms={} "
+                  "answered_elsewhere_ms_ago={}",
+                  watch.table, answer.revision, ToMillis(now - watch.failing_since),
+                  ToMillis(watch.last_failed_call), ToMillis(now - AnsweredElsewhereAt(watch))));
+}
+
+MonotonicTime StoreDuty::AnsweredElsewhereAt(const TableWatch& watch) const {
+  MonotonicTime last{};
+  for (const TableWatch* other : {&operator_watch_, &endpoint_watch_, &router_watch_}) {
+    if (other != &watch) last = std::max(last, other->answered_at);
+  }
+  return last;
 }
 
 asio::awaitable<std::optional<StoreAnswer>> StoreDuty::Query(TableWatch& watch, HttpRequest request,
@@ -103,7 +124,7 @@
   const HttpExchangeResult result = co_await watch.channel.Call(std::move(request), timeout);
   const MonotonicTime received = clock_.Now();
   if (!result.response) {
-    RecordFailure(watch, result.error.message());
+    RecordFailure(watch, sent, result.error.message());
     co_return std::nullopt;
   }
   std::optional<StoreAnswer> answer = HandleFailure(
@@ -112,13 +133,13 @@
         return std::optional(std::move(read));
       },
       [&](const Failure& failure) -> std::optional<StoreAnswer> {
-        RecordFailure(watch, fmt::format("{} {}", Name(failure.code), failure.detail));
+        RecordFailure(watch, sent, fmt::format("{} {}", Name(failure.code), failure.detail));
         // The feed cannot be resumed after lost history, so the table is listed again.
         if (failure.code == ResultCode::kHistoryLost) watch.listed = false;
         return std::nullopt;
       });
   if (!answer) co_return std::nullopt;
-  RecordSuccess(watch);
+  RecordSuccess(watch, *answer);
   store_clock_.Observe(sent, answer->store_now);
   const MonotonicTime answered_at =
       store_clock_.EarliestAnswerTime(sent, received, answer->store_now);
@@ -152,7 +173,9 @@
       const auto known = watch.known_revisions.find(row.key);
       if (known == watch.known_revisions.end()) continue;
       if (defer_removals) {
-        watch.deferred_removals.try_emplace(row.key, watch.recovered_at + kReregistrationGrace);
+        const MonotonicTime until = watch.recovered_at + kReregistrationGrace;
+        const bool added = watch.deferred_removals.try_emplace(row.key, until).second;
+        if (added) LogDeferredRemoval(watch, row, until - now);
         continue;
       }
       watch.known_revisions.erase(known);
@@ -167,6 +190,12 @@
   return changes;
 }
 
+void StoreDuty::LogDeferredRemoval(const TableWatch& watch, const StoreRow& row, Duration time) {
+  log_.Write(Event::kRemovalDeferred, RequestId(),
+             fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", row.key,
+                         row.revision, watch.recovered_revision, ToMillis(time)));
+}
+
 std::vector<StoreRow> StoreDuty::TakeDueRemovals(TableWatch& watch) {
   std::vector<StoreRow> due_removals;
   const MonotonicTime now = clock_.Now();
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -74,11 +74,16 @@
     bool listed = false;
     bool failing = false;
     std::uint32_t failures = 0;
+    /// When the first call failed, and how long the last failed call took.
+    MonotonicTime failing_since{};
+    Duration last_failed_call{};
+    MonotonicTime answered_at{};
     std::uint64_t revision = 0;
     /// Revision of each row that has been delivered to the listener.
     std::map<std::string, std::uint64_t> known_revisions;
-    /// When the store last answered again after a failure.
+    /// When the store last answered again after a failure, and its newest revision then.
     MonotonicTime recovered_at{};
+    std::uint64_t recovered_revision = 0;
     /// Rows deleted around an outage, with the time at which the deletion is delivered unless they
     /// are back.
     std::map<std::string, MonotonicTime> deferred_removals;
@@ -96,12 +101,15 @@
   asio::awaitable<void> RegisterSelf();
   asio::awaitable<void> WriteProgress(RolloutProgress progress);
 
-  void RecordFailure(TableWatch& watch, const std::string& reason);
-  void RecordSuccess(TableWatch& watch);
+  void RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason);
+  void RecordSuccess(TableWatch& watch, const StoreAnswer& answer);
+  /// When the store last answered a call for another table.
+  MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
   /// Updates `known_revisions` and returns the rows to deliver to the listener.
   std::vector<StoreRow> FilterChanges(TableWatch& watch, std::vector<StoreRow> rows);
   std::vector<StoreRow> MissingRows(const TableWatch& watch,
                                     const std::vector<StoreRow>& listed) const;
+  void LogDeferredRemoval(const TableWatch& watch, const StoreRow& row, Duration time);
   std::vector<StoreRow> TakeDueRemovals(TableWatch& watch);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
--- a/src/bamboodock/core/units.h
+++ b/src/bamboodock/core/units.h
@@ -32,4 +32,9 @@
 using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
+/// Whole milliseconds of a duration, as in log lines and messages.
+constexpr std::int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }  // namespace bamboodock
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -87,6 +87,7 @@
     EventName{Event::kPromptPartQuarantined, "prompt_part_quarantined"},
     EventName{Event::kPromptPartReleased, "prompt_part_released"},
     EventName{Event::kPromptPartProbed, "prompt_part_probed"},
+    EventName{Event::kRemovalDeferred, "removal_deferred"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -90,6 +90,7 @@
   kPromptPartQuarantined = 728,
   kPromptPartReleased = 729,
   kPromptPartProbed = 730,
+  kRemovalDeferred = 731,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
