--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -17,6 +17,8 @@
 using Answer = ScriptedServer::Answer;
 
 constexpr std::chrono::seconds kWaitTimeout{20};
+/// An endpoint gets no requests later than this after the store has acknowledged that it leaves.
+constexpr std::chrono::milliseconds kDrainLimit{2000};
 
 std::string Http(int status, const std::string& body) {
   return "HTTP/1.1 " + std::to_string(status) +
@@ -89,6 +91,36 @@
   int pending_rejections_ = 0;
 };
 
+constexpr const char* kRemovedEndpoint =
+    R"({"tableName":"servers","part":"","key":"e1","ver":9,"isGone":true})";
+
+/// Store that does not answer calls for some time, and from which an endpoint is removed later.
+class InterruptedStore {
+ public:
+  Answer operator()(const ScriptedServer::Request& request, std::size_t) const {
+    const auto elapsed = std::chrono::steady_clock::now() - start_;
+    if (elapsed >= kSilentFrom && elapsed < kSilentUntil) {
+      return {"", ConnectionAction::kWaitForPeer};
+    }
+    if (IsCallFor(request, "rows-get", "servers")) {
+      return {Rows(EndpointRow("e1", 3), 3), ConnectionAction::kKeep};
+    }
+    std::this_thread::sleep_for(kFeedTime);
+    const bool removed = elapsed >= kRemovedAfter;
+    const bool lists = removed && IsCallFor(request, "rows-feed", "servers");
+    return {Rows(lists ? kRemovedEndpoint : "", removed ? 9 : 5), ConnectionAction::kKeep};
+  }
+  std::chrono::steady_clock::time_point removed_at() const { return start_ + kRemovedAfter; }
+
+ private:
+  static constexpr std::chrono::milliseconds kFeedTime{20};
+  static constexpr std::chrono::milliseconds kSilentFrom{300};
+  static constexpr std::chrono::milliseconds kSilentUntil{1500};
+  static constexpr std::chrono::milliseconds kRemovedAfter{3000};
+
+  std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+};
+
 /// Default answer to calls that a test does not script.
 Answer DefaultAnswer(const ScriptedServer::Request& request) {
   if (request.method() == boost::beast::http::verb::post) {
@@ -105,6 +137,8 @@
   CPPUNIT_TEST(ListsAndFollows);
   CPPUNIT_TEST(ListsAgainAfterHistoryLoss);
   CPPUNIT_TEST(KeepsExpiredEndpointsForGracePeriod);
+  CPPUNIT_TEST(EndpointThatLeavesAfterAnOutageIsRemovedInTime);
+  CPPUNIT_TEST(LostHistoryIsNoOutage);
   CPPUNIT_TEST(RedeliversChangesThatWereNotAccepted);
   CPPUNIT_TEST(ExtraAnswerIsNotTakenForTheNextOne);
   CPPUNIT_TEST_SUITE_END();
@@ -169,6 +203,43 @@
         });
   }
 
+  // Guards against requests to an endpoint that left after the end of an outage (incident
+  // leaving-after-store-return).
+  void EndpointThatLeavesAfterAnOutageIsRemovedInTime() {
+    const InterruptedStore store;
+    Run(store, [&](RecordingListener& listener) {
+      CPPUNIT_ASSERT(listener.Await({"e1"}));
+      std::this_thread::sleep_until(store.removed_at());
+      CPPUNIT_ASSERT(listener.Has("e1"));
+      CPPUNIT_ASSERT(listener.Await({}));
+      const auto removal_time = std::chrono::steady_clock::now() - store.removed_at();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(ToMillis(removal_time)), removal_time < kDrainLimit);
+    });
+  }
+
+  // Guards against requests to an endpoint that left while the history of the store was lost, as if
+  // its registration might return (incident leaving-after-store-return).
+  void LostHistoryIsNoOutage() {
+    auto lists = std::make_shared<std::atomic<int>>(0);
+    Run(
+        [lists](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-get", "servers")) {
+            const bool first = (*lists)++ == 0;
+            return Keep(first ? Rows(EndpointRow("e1", 3), 3) : Rows("", 9));
+          }
+          if (IsCallFor(request, "rows-feed", "servers") && After(request) == 3) {
+            return Keep(Http(410, "{}"));
+          }
+          return DefaultAnswer(request);
+        },
+        [](RecordingListener& listener) {
+          CPPUNIT_ASSERT(listener.Await({"e1"}));
+          const auto begin = std::chrono::steady_clock::now();
+          CPPUNIT_ASSERT(listener.Await({}));
+          CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < kDrainLimit);
+        });
+  }
+
   // Guards against loss of a change that did not fit in the ring of the planning duty: the feed
   // does not deliver these rows again.
   void RedeliversChangesThatWereNotAccepted() {
