Send calls to the store again that an outage swallowed

Callers saw: requests at endpoints that had left up to 3.6 s before (DRAIN), and refusals for 1.4 to 4.3 s after the store's return. Cause: a feed call asks the store to wait for changes, also while the store is known to fail. One that was sent into the outage was given up only when its whole wait was over (1.9, 3.9, 8.9 s for the three tables), whatever the store answered meanwhile. Change: while a table fails, its calls ask for an answer at once. The first answer for a table after a failure ends the pauses of the other tables and sends their older calls again.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds kRouterBatchDelay{1000};
 /// Timeout of a call in addition to the wait requested from the store.
 constexpr std::chrono::milliseconds kAnswerTimeout{900};
+/// The store answers calls at once while it is not known to answer again. A call that it held could
+/// have been lost, and would be noticed only when its whole wait is over.
+constexpr std::chrono::milliseconds kProbeWait{1};
 /// Delays between retries while the store does not answer.
 constexpr std::chrono::milliseconds kInitialRetryDelay{180};
 constexpr std::chrono::milliseconds kMaxRetryDelay{600};
@@ -81,17 +84,22 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
-void StoreDuty::RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason) {
-  ++watch.failures;
-  const MonotonicTime now = clock_.Now();
-  watch.last_failed_call = now - sent;
+void StoreDuty::MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time) {
   if (watch.failing) return;
   watch.failing = true;
+  const MonotonicTime now = clock_.Now();
   watch.failing_since = now;
   log_.Write(
       Event::kStoreFailed, RequestId(),
       fmt::format("table={} reason='{}' call_ms={} answered_elsewhere_ms_ago={}", watch.table,
-                  reason, ToMillis(now - sent), ToMillis(now - AnsweredElsewhereAt(watch))));
+                  reason, ToMillis(call_time), ToMillis(now - AnsweredElsewhereAt(watch))));
+}
+
+void StoreDuty::RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason) {
+  ++watch.failures;
+  watch.failed_at = clock_.Now();
+  watch.last_failed_call = watch.failed_at - sent;
+  MarkFailing(watch, reason, watch.last_failed_call);
 }
 
 void StoreDuty::RecordSuccess(TableWatch& watch, const StoreAnswer& answer) {
@@ -108,6 +116,19 @@
                   "answered_elsewhere_ms_ago={}",
                   watch.table, answer.revision, ToMillis(now - watch.failing_since),
                   ToMillis(watch.last_failed_call), ToMillis(now - AnsweredElsewhereAt(watch))));
+  RestartOtherCalls(watch);
+}
+
+void StoreDuty::RestartOtherCalls(const TableWatch& recovered) {
+  for (TableWatch* other : Watches()) {
+    if (other == &recovered) continue;
+    other->retry_timer.cancel();
+    if (!other->call_sent || *other->call_sent >= recovered.failed_at) continue;
+    other->restarted = true;
+    MarkFailing(*other, "call sent before table " + recovered.table + " was answered again",
+                clock_.Now() - *other->call_sent);
+    other->channel.Close();
+  }
 }
 
 MonotonicTime StoreDuty::AnsweredElsewhereAt(const TableWatch& watch) const {
@@ -121,9 +142,13 @@
 asio::awaitable<std::optional<StoreAnswer>> StoreDuty::Query(TableWatch& watch, HttpRequest request,
                                                              std::chrono::milliseconds timeout) {
   const MonotonicTime sent = clock_.Now();
+  watch.call_sent = sent;
+  watch.restarted = false;
   const HttpExchangeResult result = co_await watch.channel.Call(std::move(request), timeout);
+  watch.call_sent.reset();
   const MonotonicTime received = clock_.Now();
   if (!result.response) {
+    if (watch.restarted) co_return std::nullopt;
     RecordFailure(watch, sent, result.error.message());
     co_return std::nullopt;
   }
@@ -247,7 +272,7 @@
 }
 
 asio::awaitable<bool> StoreDuty::Poll(TableWatch& watch, Emit emit) {
-  const std::chrono::milliseconds wait = FeedWait(watch);
+  const std::chrono::milliseconds wait = watch.failing ? kProbeWait : FeedWait(watch);
   HttpRequest request = protocol_.Feed(watch.table, watch.revision, wait);
   const auto timeout = wait + kAnswerTimeout;
   std::optional<StoreAnswer> answer = co_await Query(watch, std::move(request), timeout);
@@ -267,6 +292,19 @@
   co_return true;
 }
 
+asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
+  if (std::exchange(watch.restarted, false)) co_return;
+  if (!watch.listed && watch.failures <= 1) co_return;
+  const auto backoff = kInitialRetryDelay * (1U << std::min(watch.failures, 3U)) / 2;
+  auto pause = std::min<std::chrono::milliseconds>(backoff, kMaxRetryDelay);
+  // No backoff: requests with a key depend on the operator's table, so its recovery must be
+  // detected soon.
+  if (&watch == &operator_watch_) pause = kInitialRetryDelay;
+  watch.retry_timer.expires_after(pause);
+  SocketError cancelled;
+  co_await watch.retry_timer.async_wait(CaptureError(cancelled));
+}
+
 asio::awaitable<void> StoreDuty::Follow(TableWatch& watch, Emit emit) {
   while (true) {
     bool done = false;
@@ -275,13 +313,7 @@
     } else {
       done = co_await ListAll(watch, emit);
     }
-    if (done || (!watch.listed && watch.failures <= 1)) continue;
-    const auto backoff = kInitialRetryDelay * (1U << std::min(watch.failures, 3U)) / 2;
-    auto pause = std::min<std::chrono::milliseconds>(backoff, kMaxRetryDelay);
-    // No backoff: requests with a key depend on the operator's table, so its recovery must be
-    // detected soon.
-    if (&watch == &operator_watch_) pause = kInitialRetryDelay;
-    co_await Sleep(pause);
+    if (!done) co_await PauseBeforeRetry(watch);
   }
 }
 
@@ -384,7 +416,7 @@
 
 void StoreDuty::HandleCommand(StoreCommand& command) {
   if (command.store) {
-    for (TableWatch* watch : {&operator_watch_, &endpoint_watch_, &router_watch_}) {
+    for (TableWatch* watch : Watches()) {
       watch->channel.SetServer(*command.store);
     }
     writer_.SetServer(*command.store);
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <thread>
-#include <unordered_map>
 #include <vector>
 
 #include "bamboodock/command/router/route_commands.h"
@@ -42,7 +45,8 @@
 /// Duty that watches the tables of the store and writes the rows of the router.
 ///
 /// Each table is listed once and then followed through its change feed. While the store is
-/// unavailable the last known state remains valid; its age is passed on with each change.
+/// unavailable the last known state remains valid; its age is passed on with each change. The first
+/// answer for one table after an outage makes the others try at once.
 class StoreDuty {
  public:
   StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
@@ -63,7 +67,8 @@
         : table(std::move(name)),
           wait(feed_wait),
           batch_delay(delay_after_changes),
-          channel(std::move(executor), store) {}
+          channel(executor, store),
+          retry_timer(std::move(executor)) {}
 
     std::string table;
     /// Maximum time for which the store holds a feed call (long polling).
@@ -71,11 +76,17 @@
     /// Delay after changes, so that one call returns several that follow closely.
     std::chrono::milliseconds batch_delay;
     AsyncHttpChannel channel;
+    asio::steady_timer retry_timer;
     bool listed = false;
     bool failing = false;
     std::uint32_t failures = 0;
-    /// When the first call failed, and how long the last failed call took.
+    /// When the call in progress was sent; empty when there is none.
+    std::optional<MonotonicTime> call_sent;
+    /// Whether the call in progress was closed in order to send it again.
+    bool restarted = false;
+    /// When the first and the last call failed, and how long the last one took.
     MonotonicTime failing_since{};
+    MonotonicTime failed_at{};
     Duration last_failed_call{};
     MonotonicTime answered_at{};
     std::uint64_t revision = 0;
@@ -98,11 +109,16 @@
   asio::awaitable<std::optional<StoreAnswer>> Query(TableWatch& watch, HttpRequest request,
                                                     std::chrono::milliseconds timeout);
   asio::awaitable<void> Sleep(std::chrono::milliseconds time);
+  asio::awaitable<void> PauseBeforeRetry(TableWatch& watch);
   asio::awaitable<void> RegisterSelf();
   asio::awaitable<void> WriteProgress(RolloutProgress progress);
 
   void RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason);
   void RecordSuccess(TableWatch& watch, const StoreAnswer& answer);
+  void MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time);
+  /// Sends the calls for the other tables again that were sent before the store answered this one,
+  /// since a call that is sent into an outage may never be answered.
+  void RestartOtherCalls(const TableWatch& recovered);
   /// When the store last answered a call for another table.
   MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
   /// Updates `known_revisions` and returns the rows to deliver to the listener.
@@ -113,6 +129,9 @@
   std::vector<StoreRow> TakeDueRemovals(TableWatch& watch);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
+  std::array<TableWatch*, 3> Watches() {
+    return {&operator_watch_, &endpoint_watch_, &router_watch_};
+  }
   std::chrono::milliseconds FeedWait(const TableWatch& watch) const;
 
   /// Delivers changes to the listener. If it does not accept them, the table is listed again.
