Hold back only removals that an outage can have caused

Callers saw: requests at endpoints that left within 2.2 s after a failed call of the store. Cause: after a failure each removal of the next 2.2 s was held back, as if all were registrations that had expired in the outage. A removal has a revision, and one that is newer than the store's state at its return has nothing to do with the outage.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -59,11 +59,11 @@
       log_(log),
       inbox_(loop_, kInboxCapacity, [this](StoreCommand& command) { HandleCommand(command); }),
       operator_watch_(codec.OperatorTable(), kOperatorFeedWait, kOperatorBatchDelay,
-                      loop_.get_executor(), store),
+                      Duration::zero(), loop_.get_executor(), store),
       endpoint_watch_(codec.EndpointTable(), kEndpointFeedWait, kEndpointBatchDelay,
-                      loop_.get_executor(), store),
-      router_watch_(codec.RouterTable(), kRouterFeedWait, kRouterBatchDelay, loop_.get_executor(),
-                    store),
+                      kReregistrationGrace, loop_.get_executor(), store),
+      router_watch_(codec.RouterTable(), kRouterFeedWait, kRouterBatchDelay, Duration::zero(),
+                    loop_.get_executor(), store),
       writer_(loop_.get_executor(), store) {}
 
 void StoreDuty::Start() {
@@ -85,6 +85,7 @@
 }
 
 void StoreDuty::MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time) {
+  watch.rows.OnOutage();
   if (watch.failing) return;
   watch.failing = true;
   const MonotonicTime now = clock_.Now();
@@ -106,10 +107,9 @@
   const MonotonicTime now = clock_.Now();
   watch.answered_at = now;
   watch.failures = 0;
+  watch.rows.OnAnswer(answer.revision, now);
   if (!watch.failing) return;
   watch.failing = false;
-  watch.recovered_at = now;
-  watch.recovered_revision = answer.revision;
   log_.Write(
       Event::kStoreBack, RequestId(),
       fmt::format("table={} revision={} failing_ms={} last_failed_call_ms={} "
@@ -177,61 +177,15 @@
   co_return answer;
 }
 
-std::vector<StoreRow> StoreDuty::MissingRows(const TableWatch& watch,
-                                             const std::vector<StoreRow>& listed) const {
-  std::set<std::string> present;
-  for (const StoreRow& row : listed) present.insert(row.key);
-  std::vector<StoreRow> missing;
-  for (const auto& [key, revision] : watch.known_revisions) {
-    if (!present.contains(key)) missing.push_back({watch.table, key, "", revision, true});
-  }
-  return missing;
-}
-
-std::vector<StoreRow> StoreDuty::FilterChanges(TableWatch& watch, std::vector<StoreRow> rows) {
-  std::vector<StoreRow> changes;
+void StoreDuty::LogDeferredRemovals(const TableWatch& watch,
+                                    const std::vector<DeferredRemoval>& deferred) {
   const MonotonicTime now = clock_.Now();
-  const bool defer_removals =
-      &watch == &endpoint_watch_ && now - watch.recovered_at < kReregistrationGrace;
-  for (StoreRow& row : rows) {
-    if (row.deleted) {
-      const auto known = watch.known_revisions.find(row.key);
-      if (known == watch.known_revisions.end()) continue;
-      if (defer_removals) {
-        const MonotonicTime until = watch.recovered_at + kReregistrationGrace;
-        const bool added = watch.deferred_removals.try_emplace(row.key, until).second;
-        if (added) LogDeferredRemoval(watch, row, until - now);
-        continue;
-      }
-      watch.known_revisions.erase(known);
-    } else {
-      watch.deferred_removals.erase(row.key);
-      const auto [known, added] = watch.known_revisions.try_emplace(row.key, row.revision);
-      if (!added && known->second >= row.revision) continue;
-      known->second = row.revision;
-    }
-    changes.push_back(std::move(row));
-  }
-  return changes;
-}
-
-void StoreDuty::LogDeferredRemoval(const TableWatch& watch, const StoreRow& row, Duration time) {
-  log_.Write(Event::kRemovalDeferred, RequestId(),
-             fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", row.key,
-                         row.revision, watch.recovered_revision, ToMillis(time)));
-}
-
-std::vector<StoreRow> StoreDuty::TakeDueRemovals(TableWatch& watch) {
-  std::vector<StoreRow> due_removals;
-  const MonotonicTime now = clock_.Now();
-  for (const auto& [key, until] : watch.deferred_removals) {
-    if (until <= now) due_removals.push_back({watch.table, key, "", 0, true});
-  }
-  for (const StoreRow& row : due_removals) {
-    watch.deferred_removals.erase(row.key);
-    watch.known_revisions.erase(row.key);
+  for (const DeferredRemoval& removal : deferred) {
+    log_.Write(
+        Event::kRemovalDeferred, RequestId(),
+        fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", removal.key,
+                    removal.revision, watch.rows.return_revision(), ToMillis(removal.until - now)));
   }
-  return due_removals;
 }
 
 asio::awaitable<bool> StoreDuty::ListAll(TableWatch& watch, Emit emit) {
@@ -248,11 +202,11 @@
     if (!answer->more || rows.empty()) break;
     from = rows.back().key + '\0';
   }
-  std::vector<StoreRow> missing = MissingRows(watch, rows);
-  rows.insert(rows.end(), missing.begin(), missing.end());
+  const RowChanges changes = watch.rows.Replace(std::move(rows), watch.revision, clock_.Now());
+  LogDeferredRemovals(watch, changes.deferred);
   watch.listed = true;
   watch.revision = *revision;
-  Deliver(watch, emit, FilterChanges(watch, std::move(rows)));
+  Deliver(watch, emit, changes.rows);
   co_return true;
 }
 
@@ -264,9 +218,9 @@
     const auto spread = XXH3_64bits(host.data(), host.size()) % kSharedFeedWaitSpread.count();
     wait = kSharedOperatorFeedWait + std::chrono::milliseconds(spread);
   }
-  for (const auto& [key, until] : watch.deferred_removals) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
-    wait = std::clamp(left, std::chrono::milliseconds(1), wait);
+  if (const auto next = watch.rows.NextRemoval()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*next - now);
+    wait = std::clamp(left, kProbeWait, wait);
   }
   return wait;
 }
@@ -277,16 +231,17 @@
   const auto timeout = wait + kAnswerTimeout;
   std::optional<StoreAnswer> answer = co_await Query(watch, std::move(request), timeout);
   if (!answer) {
-    std::vector<StoreRow> due_removals = TakeDueRemovals(watch);
-    if (!due_removals.empty()) Deliver(watch, emit, due_removals);
+    const std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
+    if (!removals.empty()) Deliver(watch, emit, removals);
     co_return false;
   }
   watch.revision = std::max(watch.revision, answer->revision);
-  std::vector<StoreRow> changes = FilterChanges(watch, std::move(answer->rows));
-  std::vector<StoreRow> due_removals = TakeDueRemovals(watch);
-  changes.insert(changes.end(), due_removals.begin(), due_removals.end());
-  Deliver(watch, emit, changes);
-  if (!changes.empty() && watch.batch_delay.count() > 0) {
+  RowChanges changes = watch.rows.Update(std::move(answer->rows), clock_.Now());
+  LogDeferredRemovals(watch, changes.deferred);
+  std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
+  changes.rows.insert(changes.rows.end(), removals.begin(), removals.end());
+  Deliver(watch, emit, changes.rows);
+  if (!changes.rows.empty() && watch.batch_delay.count() > 0) {
     co_await Sleep(watch.batch_delay);
   }
   co_return true;
@@ -319,14 +274,13 @@
 
 void StoreDuty::Deliver(TableWatch& watch, Emit emit, const std::vector<StoreRow>& rows) {
   if ((this->*emit)(rows)) return;
-  // With revision 0 the next listing delivers a row again, as deleted if it no longer exists.
-  for (const StoreRow& row : rows) watch.known_revisions[row.key] = 0;
+  watch.rows.Forget(rows);
   watch.listed = false;
 }
 
 OperatorTableState StoreDuty::Coverage() const {
   OperatorTableState orders{0, orders_covered_until_};
-  for (const auto& [key, revision] : operator_watch_.known_revisions) {
+  for (const auto& [key, revision] : operator_watch_.rows.revisions()) {
     // Adds the hashes, since a sum does not depend on the order of the rows.
     orders.digest += XXH3_64bits_withSeed(key.data(), key.size(), revision);
   }
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "bamboodock/command/router/followed_rows.h"
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
@@ -62,13 +63,14 @@
  private:
   struct TableWatch {
     TableWatch(std::string name, std::chrono::milliseconds feed_wait,
-               std::chrono::milliseconds delay_after_changes, asio::any_io_executor executor,
-               const Address& store)
-        : table(std::move(name)),
+               std::chrono::milliseconds delay_after_changes, Duration removal_grace,
+               asio::any_io_executor executor, const Address& store)
+        : table(name),
           wait(feed_wait),
           batch_delay(delay_after_changes),
           channel(executor, store),
-          retry_timer(std::move(executor)) {}
+          retry_timer(std::move(executor)),
+          rows(std::move(name), removal_grace) {}
 
     std::string table;
     /// Maximum time for which the store holds a feed call (long polling).
@@ -90,14 +92,7 @@
     Duration last_failed_call{};
     MonotonicTime answered_at{};
     std::uint64_t revision = 0;
-    /// Revision of each row that has been delivered to the listener.
-    std::map<std::string, std::uint64_t> known_revisions;
-    /// When the store last answered again after a failure, and its newest revision then.
-    MonotonicTime recovered_at{};
-    std::uint64_t recovered_revision = 0;
-    /// Rows deleted around an outage, with the time at which the deletion is delivered unless they
-    /// are back.
-    std::map<std::string, MonotonicTime> deferred_removals;
+    FollowedRows rows;
   };
 
   using Emit = bool (StoreDuty::*)(const std::vector<StoreRow>& rows);
@@ -121,12 +116,7 @@
   void RestartOtherCalls(const TableWatch& recovered);
   /// When the store last answered a call for another table.
   MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
-  /// Updates `known_revisions` and returns the rows to deliver to the listener.
-  std::vector<StoreRow> FilterChanges(TableWatch& watch, std::vector<StoreRow> rows);
-  std::vector<StoreRow> MissingRows(const TableWatch& watch,
-                                    const std::vector<StoreRow>& listed) const;
-  void LogDeferredRemoval(const TableWatch& watch, const StoreRow& row, Duration time);
-  std::vector<StoreRow> TakeDueRemovals(TableWatch& watch);
+  void LogDeferredRemovals(const TableWatch& watch, const std::vector<DeferredRemoval>& deferred);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
   std::array<TableWatch*, 3> Watches() {
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(ListsAgainAfterHistoryLoss);
   CPPUNIT_TEST(KeepsExpiredEndpointsForGracePeriod);
   CPPUNIT_TEST(EndpointThatLeavesAfterAnOutageIsRemovedInTime);
+  CPPUNIT_TEST(RemovalAfterTheReturnIsNotHeldBack);
   CPPUNIT_TEST(LostHistoryIsNoOutage);
   CPPUNIT_TEST(RedeliversChangesThatWereNotAccepted);
   CPPUNIT_TEST(ExtraAnswerIsNotTakenForTheNextOne);
@@ -217,6 +218,27 @@
     });
   }
 
+  // Guards against requests to an endpoint that leaves soon after a failed call, as if its
+  // registration might return (incident leaving-after-store-return).
+  void RemovalAfterTheReturnIsNotHeldBack() {
+    auto feeds = std::make_shared<std::atomic<int>>(0);
+    Run(
+        [feeds](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-get", "servers")) return Keep(Rows(EndpointRow("e1", 3), 3));
+          if (!IsCallFor(request, "rows-feed", "servers")) return DefaultAnswer(request);
+          const int feed = (*feeds)++;
+          if (feed == 0) return Keep(Http(503, "{}"));
+          if (feed == 1) return Keep(Rows("", 8));
+          return Keep(Rows(feed == 2 ? kRemovedEndpoint : "", 9));
+        },
+        [](RecordingListener& listener) {
+          CPPUNIT_ASSERT(listener.Await({"e1"}));
+          const auto begin = std::chrono::steady_clock::now();
+          CPPUNIT_ASSERT(listener.Await({}));
+          CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < kDrainLimit);
+        });
+  }
+
   // Guards against requests to an endpoint that left while the history of the store was lost, as if
   // its registration might return (incident leaving-after-store-return).
   void LostHistoryIsNoOutage() {
