Take lost history for no outage of the store

Callers would see: requests at endpoints that left while the store dropped its history. Cause: a 410 was recorded as a failure of the store, so removals were held back for 2.2 s as after an outage. The store answers; it only cannot resume the feed. Change: a 410 has the table listed again and is logged as 607 store_history_lost.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -119,6 +119,13 @@
   RestartOtherCalls(watch);
 }
 
+void StoreDuty::RecordHistoryLoss(TableWatch& watch) {
+  // The feed cannot be resumed, so the table is listed again.
+  watch.listed = false;
+  log_.Write(Event::kStoreHistoryLost, RequestId(),
+             fmt::format("table={} revision={}", watch.table, watch.revision));
+}
+
 void StoreDuty::RestartOtherCalls(const TableWatch& recovered) {
   for (TableWatch* other : Watches()) {
     if (other == &recovered) continue;
@@ -158,9 +165,11 @@
         return std::optional(std::move(read));
       },
       [&](const Failure& failure) -> std::optional<StoreAnswer> {
-        RecordFailure(watch, sent, fmt::format("{} {}", Name(failure.code), failure.detail));
-        // The feed cannot be resumed after lost history, so the table is listed again.
-        if (failure.code == ResultCode::kHistoryLost) watch.listed = false;
+        if (failure.code == ResultCode::kHistoryLost) {
+          RecordHistoryLoss(watch);
+        } else {
+          RecordFailure(watch, sent, fmt::format("{} {}", Name(failure.code), failure.detail));
+        }
         return std::nullopt;
       });
   if (!answer) co_return std::nullopt;
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -110,6 +110,8 @@
 
   void RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason);
   void RecordSuccess(TableWatch& watch, const StoreAnswer& answer);
+  /// Has the table listed again; the store answers, so this is no outage.
+  void RecordHistoryLoss(TableWatch& watch);
   void MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time);
   /// Sends the calls for the other tables again that were sent before the store answered this one,
   /// since a call that is sent into an outage may never be answered.
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -56,6 +56,7 @@
     EventName{Event::kOrderRefused, "order_refused"},
     EventName{Event::kLeaseAcquired, "lease_acquired"},
     EventName{Event::kLeaseLost, "lease_lost"},
+    EventName{Event::kStoreHistoryLost, "store_history_lost"},
     EventName{Event::kSettingsReloaded, "settings_reloaded"},
     EventName{Event::kRouteTableInstalled, "route_table_installed"},
     EventName{Event::kConfigRejected, "config_rejected"},
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -58,6 +58,7 @@
   kOrderRefused = 604,
   kLeaseAcquired = 605,
   kLeaseLost = 606,
+  kStoreHistoryLost = 607,
   // 7xx: router.
   kSettingsReloaded = 700,
   kRouteTableInstalled = 701,
