Pause before a table is listed again right after a listing

Callers would see: slow requests, since the store duty calls the store without a pause. Cause: found in review. A store that answers each feed call with 410 had its tables listed again at once.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -214,6 +214,7 @@
   const RowChanges changes = watch.rows.Replace(std::move(rows), watch.revision, clock_.Now());
   LogDeferredRemovals(watch, changes.deferred);
   watch.listed = true;
+  watch.listed_at = clock_.Now();
   watch.revision = *revision;
   Deliver(watch, emit, changes.rows);
   co_return true;
@@ -258,8 +259,9 @@
 
 asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
   if (std::exchange(watch.restarted, false)) co_return;
-  if (!watch.listed && watch.failures <= 1) co_return;
-  const auto backoff = kInitialRetryDelay * (1U << std::min(watch.failures, 3U)) / 2;
+  const bool may_list_again = clock_.Now() - watch.listed_at >= kMaxRetryDelay;
+  if (!watch.listed && watch.failures <= 1 && may_list_again) co_return;
+  const auto backoff = kInitialRetryDelay * (1U << std::clamp(watch.failures, 1U, 3U)) / 2;
   auto pause = std::min<std::chrono::milliseconds>(backoff, kMaxRetryDelay);
   // No backoff: requests with a key depend on the operator's table, so its recovery must be
   // detected soon.
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -80,6 +80,7 @@
     AsyncHttpChannel channel;
     asio::steady_timer retry_timer;
     bool listed = false;
+    MonotonicTime listed_at{};
     bool failing = false;
     std::uint32_t failures = 0;
     /// When the call in progress was sent; empty when there is none.
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -140,6 +140,7 @@
   CPPUNIT_TEST(EndpointThatLeavesAfterAnOutageIsRemovedInTime);
   CPPUNIT_TEST(RemovalAfterTheReturnIsNotHeldBack);
   CPPUNIT_TEST(LostHistoryIsNoOutage);
+  CPPUNIT_TEST(StoreWithoutHistoryIsListedWithPauses);
   CPPUNIT_TEST(RedeliversChangesThatWereNotAccepted);
   CPPUNIT_TEST(ExtraAnswerIsNotTakenForTheNextOne);
   CPPUNIT_TEST_SUITE_END();
@@ -262,6 +263,25 @@
         });
   }
 
+  // Guards against calls without a pause to a store that answers each call of the feed with 410.
+  void StoreWithoutHistoryIsListedWithPauses() {
+    constexpr std::chrono::milliseconds kTime{1000};
+    constexpr int kMaxLists = 10;
+    auto lists = std::make_shared<std::atomic<int>>(0);
+    Run(
+        [lists](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-feed", "servers")) return Keep(Http(410, "{}"));
+          if (!IsCallFor(request, "rows-get", "servers")) return DefaultAnswer(request);
+          ++*lists;
+          return Keep(Rows(EndpointRow("e1", 3), 3));
+        },
+        [&](RecordingListener& listener) {
+          CPPUNIT_ASSERT(listener.Await({"e1"}));
+          std::this_thread::sleep_for(kTime);
+          CPPUNIT_ASSERT_MESSAGE(std::to_string(*lists), *lists <= kMaxLists);
+        });
+  }
+
   // Guards against loss of a change that did not fit in the ring of the planning duty: the feed
   // does not deliver these rows again.
   void RedeliversChangesThatWereNotAccepted() {
