Follow each table with timing of its own

Cause: the router's own table tried a silent store as often as the others, which notice its return earlier and have it called again then. Change: TableTiming holds the waits and delays of a table; the router's own one pauses for up to 2 s.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -12,35 +12,26 @@
 namespace bamboodock {
 namespace {
 
-/// How long the store holds a call of the operator's feed; bounds the age of the known state.
-constexpr std::chrono::milliseconds kOperatorFeedWait{1000};
-/// The same while other entries confirm the known orders, so that the entries share the load of one
-/// call per second. A per-host part of the spread is added, so that the calls of the entries do not
-/// coincide.
+/// How long the store holds a call of the operator's feed while other entries confirm the known
+/// orders, so that the entries share the load of one call per second. A per-host part of the spread
+/// is added, so that the calls of the entries do not coincide.
 constexpr std::chrono::milliseconds kSharedOperatorFeedWait{1600};
 constexpr std::chrono::milliseconds kSharedFeedWaitSpread{900};
 /// Confirmations of other entries count only below this age.
 constexpr std::chrono::milliseconds kMaxPeerCoverageAge{1200};
-/// Endpoint changes end a feed call at once, and keep-alive probes detect a dead connection, so
-/// these calls can be long.
-constexpr std::chrono::milliseconds kEndpointFeedWait{3000};
-constexpr std::chrono::milliseconds kRouterFeedWait{8000};
-/// Batching delays after changes. Operator orders must take effect within seconds, and a draining
-/// endpoint must get no requests after 2 s; entries and rollouts may take longer.
-constexpr std::chrono::milliseconds kOperatorBatchDelay{0};
-constexpr std::chrono::milliseconds kEndpointBatchDelay{500};
-constexpr std::chrono::milliseconds kRouterBatchDelay{1000};
 /// Timeout of a call in addition to the wait requested from the store.
 constexpr std::chrono::milliseconds kAnswerTimeout{900};
 /// The store answers calls at once while it is not known to answer again. A call that it held could
 /// have been lost, and would be noticed only when its whole wait is over.
 constexpr std::chrono::milliseconds kProbeWait{1};
-/// Delays between retries while the store does not answer.
+/// Delay before the first retry while the store does not answer; doubles up to the maximum of the
+/// table.
 constexpr std::chrono::milliseconds kInitialRetryDelay{180};
-constexpr std::chrono::milliseconds kMaxRetryDelay{600};
-/// Endpoints whose registration expired during an outage of the store have this time to register
-/// again.
-constexpr std::chrono::milliseconds kReregistrationGrace{2200};
+constexpr std::uint32_t kMaxDoublings = 5;
+/// Delay before the row of this entry is written again.
+constexpr std::chrono::milliseconds kRegistrationRetryDelay{600};
+/// A table is listed again without a pause if its last listing is older than this.
+constexpr std::chrono::milliseconds kListingInterval{600};
 /// Delay between two writes for the same rollout, since a write whose answer was lost may still
 /// take effect.
 constexpr std::chrono::milliseconds kRewriteDelay{400};
@@ -48,6 +39,30 @@
 
 }  // namespace
 
+// Requests with a key depend on the operator's table, so its recovery must be detected soon. The
+// wait bounds the age of the known state.
+const StoreDuty::TableTiming StoreDuty::kOperatorTiming{
+    .feed_wait = std::chrono::milliseconds(1000),
+    .batch_delay = std::chrono::milliseconds(0),
+    .max_retry_delay = kInitialRetryDelay,
+    .removal_grace = std::chrono::milliseconds(0)};
+
+// Changes end a feed call at once, and keep-alive probes detect a dead connection, so the calls can
+// be long. An endpoint that drains must get no requests after 2 s. Endpoints whose registration
+// expired in an outage are registered again within the grace time.
+const StoreDuty::TableTiming StoreDuty::kEndpointTiming{
+    .feed_wait = std::chrono::milliseconds(3000),
+    .batch_delay = std::chrono::milliseconds(500),
+    .max_retry_delay = std::chrono::milliseconds(600),
+    .removal_grace = std::chrono::milliseconds(2200)};
+
+// The other tables notice the end of an outage earlier, and have this one called again then.
+const StoreDuty::TableTiming StoreDuty::kRouterTiming{
+    .feed_wait = std::chrono::milliseconds(8000),
+    .batch_delay = std::chrono::milliseconds(1000),
+    .max_retry_delay = std::chrono::milliseconds(2000),
+    .removal_grace = std::chrono::milliseconds(0)};
+
 StoreDuty::StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
                      const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
                      EventLog& log)
@@ -58,12 +73,9 @@
       listener_(listener),
       log_(log),
       inbox_(loop_, kInboxCapacity, [this](StoreCommand& command) { HandleCommand(command); }),
-      operator_watch_(codec.OperatorTable(), kOperatorFeedWait, kOperatorBatchDelay,
-                      Duration::zero(), loop_.get_executor(), store),
-      endpoint_watch_(codec.EndpointTable(), kEndpointFeedWait, kEndpointBatchDelay,
-                      kReregistrationGrace, loop_.get_executor(), store),
-      router_watch_(codec.RouterTable(), kRouterFeedWait, kRouterBatchDelay, Duration::zero(),
-                    loop_.get_executor(), store),
+      operator_watch_(codec.OperatorTable(), kOperatorTiming, loop_.get_executor(), store),
+      endpoint_watch_(codec.EndpointTable(), kEndpointTiming, loop_.get_executor(), store),
+      router_watch_(codec.RouterTable(), kRouterTiming, loop_.get_executor(), store),
       writer_(loop_.get_executor(), store) {}
 
 void StoreDuty::Start() {
@@ -221,7 +233,7 @@
 }
 
 std::chrono::milliseconds StoreDuty::FeedWait(const TableWatch& watch) const {
-  std::chrono::milliseconds wait = watch.wait;
+  std::chrono::milliseconds wait = watch.timing.feed_wait;
   const MonotonicTime now = clock_.Now();
   if (&watch == &operator_watch_ && now - peers_covered_until_ < kMaxPeerCoverageAge) {
     const std::string& host = self_.host.value();
@@ -251,22 +263,19 @@
   std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
   changes.rows.insert(changes.rows.end(), removals.begin(), removals.end());
   Deliver(watch, emit, changes.rows);
-  if (!changes.rows.empty() && watch.batch_delay.count() > 0) {
-    co_await Sleep(watch.batch_delay);
+  if (!changes.rows.empty() && watch.timing.batch_delay.count() > 0) {
+    co_await Sleep(watch.timing.batch_delay);
   }
   co_return true;
 }
 
 asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
   if (std::exchange(watch.restarted, false)) co_return;
-  const bool may_list_again = clock_.Now() - watch.listed_at >= kMaxRetryDelay;
+  const bool may_list_again = clock_.Now() - watch.listed_at >= kListingInterval;
   if (!watch.listed && watch.failures <= 1 && may_list_again) co_return;
-  const auto backoff = kInitialRetryDelay * (1U << std::clamp(watch.failures, 1U, 3U)) / 2;
-  auto pause = std::min<std::chrono::milliseconds>(backoff, kMaxRetryDelay);
-  // No backoff: requests with a key depend on the operator's table, so its recovery must be
-  // detected soon.
-  if (&watch == &operator_watch_) pause = kInitialRetryDelay;
-  watch.retry_timer.expires_after(pause);
+  const auto backoff =
+      kInitialRetryDelay * (1U << std::clamp(watch.failures, 1U, kMaxDoublings)) / 2;
+  watch.retry_timer.expires_after(std::min(backoff, watch.timing.max_retry_delay));
   SocketError cancelled;
   co_await watch.retry_timer.async_wait(CaptureError(cancelled));
 }
@@ -362,7 +371,7 @@
     log_.Write(Event::kStoreWriteFailed, RequestId(),
                fmt::format("cannot write the row of this entry: status={} error='{}'",
                            result.response ? result.response->status : 0, result.error.message()));
-    co_await Sleep(kMaxRetryDelay);
+    co_await Sleep(kRegistrationRetryDelay);
   }
 }
 
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -61,22 +61,32 @@
   bool Post(StoreCommand command) { return inbox_.TryPush(std::move(command)); }
 
  private:
+  /// How a table is followed.
+  struct TableTiming {
+    /// Maximum time for which the store holds a feed call (long polling).
+    std::chrono::milliseconds feed_wait;
+    /// Delay after changes, so that one call returns several that follow closely.
+    std::chrono::milliseconds batch_delay;
+    /// Longest delay between retries while the store does not answer.
+    std::chrono::milliseconds max_retry_delay;
+    /// Time for which removals are held back after an outage; zero to hold back none.
+    std::chrono::milliseconds removal_grace;
+  };
+  static const TableTiming kOperatorTiming;
+  static const TableTiming kEndpointTiming;
+  static const TableTiming kRouterTiming;
+
   struct TableWatch {
-    TableWatch(std::string name, std::chrono::milliseconds feed_wait,
-               std::chrono::milliseconds delay_after_changes, Duration removal_grace,
-               asio::any_io_executor executor, const Address& store)
+    TableWatch(const std::string& name, const TableTiming& table_timing,
+               const asio::any_io_executor& executor, const Address& store)
         : table(name),
-          wait(feed_wait),
-          batch_delay(delay_after_changes),
+          timing(table_timing),
           channel(executor, store),
-          retry_timer(std::move(executor)),
-          rows(std::move(name), removal_grace) {}
+          retry_timer(executor),
+          rows(name, table_timing.removal_grace) {}
 
     std::string table;
-    /// Maximum time for which the store holds a feed call (long polling).
-    std::chrono::milliseconds wait;
-    /// Delay after changes, so that one call returns several that follow closely.
-    std::chrono::milliseconds batch_delay;
+    TableTiming timing;
     AsyncHttpChannel channel;
     asio::steady_timer retry_timer;
     bool listed = false;
