--- a/src/bamboodock/command/router/attempt_record.h
+++ b/src/bamboodock/command/router/attempt_record.h
@@ -31,6 +31,8 @@
   std::optional<Duration> early_event_interval;
   /// Whether the answer states that its endpoint drains.
   bool draining = false;
+  /// Rate limit that the answer names.
+  std::optional<RequestRate> rate_limit;
   /// Whether the connection was lost before the end of the answer.
   bool connection_lost = false;
   /// Whether the answer ended as its framing says. One without framing ends with its connection,
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -121,10 +121,12 @@
   services_.log.Write(
       Event::kAttemptEnded, id,
       fmt::format("endpoint={} outcome={} connect_ms={} head_ms={} events={} event_ms={} "
-                  "draining={} note='{}'",
+                  "draining={} limit={} note='{}'",
                   plan.endpoint.value(), Name(outcome), MillisOrNone(attempt_.connect_time),
                   MillisOrNone(attempt_.head_latency), attempt_.events,
-                  MillisOrNone(report.event_interval), attempt_.draining, detail));
+                  MillisOrNone(report.event_interval), attempt_.draining,
+                  attempt_.rate_limit ? fmt::to_string(attempt_.rate_limit->value()) : "none",
+                  detail));
   LogLostPrompt(plan);
   if (const auto fate = attempt_.Fate(outcome)) ReportPrompt(plan, *fate);
   Post(std::move(report));
@@ -384,6 +386,7 @@
   attempt_.head_latency = services_.clock.Now() - attempt_.started;
   // Another endpoint speaks for itself, not for the one that was planned.
   attempt_.draining = head.draining && !head.wrong_endpoint;
+  if (!head.wrong_endpoint) attempt_.rate_limit = head.rate_limit;
   if (attempt_.draining) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
                   plan.work, head.load, attempt_.draining, head.retry_after});
--- a/src/bamboodock/routing/answer_head.h
+++ b/src/bamboodock/routing/answer_head.h
@@ -39,6 +39,8 @@
   std::optional<ReportedLoad> load;
   /// Whether the endpoint states that it drains.
   bool draining = false;
+  /// Requests that the endpoint takes from all entries together, if it limits them.
+  std::optional<RequestRate> rate_limit;
   /// How long the endpoint wants no further requests from this host.
   std::optional<Duration> retry_after;
 
--- a/test/platform/http_wire_protocol_test.cc
+++ b/test/platform/http_wire_protocol_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(AnswerToAnotherRequestIsDetected);
   CPPUNIT_TEST(NotExecutedAndWrongEndpointAreDetected);
   CPPUNIT_TEST(RetryAfterCountsForStatus503Only);
+  CPPUNIT_TEST(RateLimitIsANonNegativeNumber);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -140,6 +141,21 @@
     CPPUNIT_ASSERT(!retry_after(429, "1"));
   }
 
+  // Guards against an endpoint that is overloaded or left out because of a malformed limit.
+  void RateLimitIsANonNegativeNumber() {
+    const auto rate_limit = [](const std::string& value) {
+      return HttpWireProtocol()
+          .DecodeAnswer(200, {{"Server-Limit", value}}, AttemptId("a"))
+          .rate_limit;
+    };
+    CPPUNIT_ASSERT(rate_limit("2.7") == RequestRate(2.7));
+    CPPUNIT_ASSERT(rate_limit("0") == RequestRate(0));
+    CPPUNIT_ASSERT(rate_limit("1e9") == RequestRate(1e9));
+    for (const char* value : {"", "-1", "nan", "inf", "1e999", "abc", "2 a second", "1, 2"}) {
+      CPPUNIT_ASSERT_MESSAGE(value, !rate_limit(value));
+    }
+  }
+
  private:
   static CallerRequest Read(const std::vector<HttpHeader>& headers) {
     CallerRequest request;
