--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -389,7 +389,8 @@
   if (!head.wrong_endpoint) attempt_.rate_limit = head.rate_limit;
   if (attempt_.draining) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
-                  plan.work, head.load, attempt_.draining, head.retry_after});
+                  plan.work, head.load, attempt_.draining, head.retry_after,
+                  attempt_.rate_limit || head.IsSuccess(), attempt_.rate_limit});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -104,6 +104,10 @@
   bool draining = false;
   /// How long the endpoint wants no further requests from this host.
   std::optional<Duration> retry_after;
+  /// Whether the answer speaks for the endpoint: it is a success, or it names a rate limit.
+  bool states_rate_limit = false;
+  /// Rate limit that the answer names; empty when it names none.
+  std::optional<RequestRate> rate_limit;
 };
 
 /// Outcome of one attempt, for the load estimate and the rollout evidence about versions.
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 
 #include "bamboodock/core/boot_clock.h"
+#include "fakes/null_event_log.h"
 #include "fakes/scripted_server.h"
 #include "platform/platform_directory_codec.h"
 #include "platform/table_store_protocol.h"
@@ -45,11 +46,6 @@
   return target.starts_with("/-/" + call) && target.find("tableName=" + table) != std::string::npos;
 }
 
-class NullEventLog final : public EventLog {
- public:
-  void Write(Event, const RequestId&, const std::string&) override {}
-};
-
 /// Records the endpoints that the duty delivers.
 class RecordingListener final : public StoreListener {
  public:
--- a/test/fakes/planned_router.h
+++ b/test/fakes/planned_router.h
@@ -10,6 +10,7 @@
 
 #include "bamboodock/command/router/network_duty.h"
 #include "bamboodock/core/boot_clock.h"
+#include "fakes/null_event_log.h"
 #include "fakes/scripted_server.h"
 #include "platform/http_wire_protocol.h"
 
@@ -48,12 +49,6 @@
   return answer;
 }
 
-/// Thread-safe log that discards all lines.
-class NullEventLog final : public EventLog {
- public:
-  void Write(Event, const RequestId&, const std::string&) override {}
-};
-
 /// Network duty whose plans use the endpoints set by the test, one after another.
 class PlannedRouter {
  public:
