Divide the rate limits of endpoints among a few entries

Callers saw: endpoints that name a limit got twice as many requests as they take. Cause: no entry read the limit. Each entry alone stayed below it, all together did not. Change: EndpointRateLimits (policy/) gives each limit to three entries, the first ones by EntryRanking; each has a token bucket with its part of 0.9 of the limit, the others send nothing. Statements are exchanged with their time on the store's clock, and the latest counts. Room counts requests of any size, so attempts with much work use it first. Requests without room are refused at once with the time until there is some. TokenBucket serves AccountLimiter as well. Event 732, a gauge and a counter.

--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -1,6 +1,7 @@
 #include "bamboodock/codec/peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace bamboodock {
@@ -52,8 +53,13 @@
   return evidence;
 }
 
-/// Number of fields of a message with evidence about prompt parts; other messages have more.
+/// Number of fields of each kind of message; a report has more.
 constexpr std::size_t kEvidenceFields = 2;
+constexpr std::size_t kRateLimitFields = 3;
+/// Version of the message with rate limits.
+constexpr std::uint32_t kRateLimitVersion = 1;
+/// Upper limit of a time on the store's clock that is accepted, about thirty years.
+constexpr std::int64_t kMaxStoreTimeMs = 1'000'000'000'000;
 /// Upper limit of an age that is accepted.
 constexpr std::int64_t kMaxAgeMs = 86400000;
 
@@ -66,6 +72,11 @@
          std::chrono::milliseconds(std::clamp<std::int64_t>(age.get<std::int64_t>(), 0, kMaxAgeMs));
 }
 
+std::chrono::milliseconds DecodeStoreTime(const Json& json) {
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMaxStoreTimeMs));
+}
+
 PromptPartEvidence DecodePart(const Json& json, MonotonicTime now) {
   PromptPartEvidence part;
   part.part = PromptPartHash(json.at(0).get<std::uint64_t>());
@@ -84,6 +95,24 @@
   return report;
 }
 
+/// Empty when the message is of another version or names an invalid rate.
+std::optional<PeerMessage> DecodeRateLimits(const Json& message) {
+  if (message.at(1).get<std::uint32_t>() != kRateLimitVersion) return std::nullopt;
+  RateLimitReport report{HostId(message.at(0).get<std::string>()), {}};
+  for (const Json& json : message.at(2)) {
+    ReportedRateLimit limit{EndpointId(json.at(0).get<std::string>()),
+                            StartTime(json.at(1).get<std::int64_t>()), std::nullopt,
+                            DecodeStoreTime(json.at(3))};
+    if (!json.at(2).is_null()) {
+      const auto rate = json.at(2).get<double>();
+      if (!std::isfinite(rate) || rate < 0) return std::nullopt;
+      limit.limit = RequestRate(rate);
+    }
+    report.limits.push_back(std::move(limit));
+  }
+  return report;
+}
+
 PeerReport DecodeReport(const Json& message) {
   PeerReport report;
   report.host = HostId(message.at(0).get<std::string>());
@@ -95,7 +124,7 @@
   }
   if (message.size() <= 4) return report;
   report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
-  report.orders.until = std::chrono::milliseconds(message.at(4).at(1).get<std::int64_t>());
+  report.orders.until = DecodeStoreTime(message.at(4).at(1));
   return report;
 }
 
@@ -133,10 +162,23 @@
   return bytes;
 }
 
+std::string EncodeRateLimits(const RateLimitReport& report) {
+  Json limits = Json::array();
+  for (const ReportedRateLimit& limit : report.limits) {
+    const Json rate = limit.limit ? Json(limit.limit->value()) : Json();
+    limits.push_back(
+        Json::array({limit.endpoint.value(), limit.started.value(), rate, limit.stated.count()}));
+  }
+  std::string bytes;
+  Json::to_msgpack(Json::array({report.host.value(), kRateLimitVersion, limits}), bytes);
+  return bytes;
+}
+
 std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes, MonotonicTime now) {
   try {
     const Json message = Json::from_msgpack(bytes);
     if (message.size() == kEvidenceFields) return DecodePromptEvidence(message, now);
+    if (message.size() == kRateLimitFields) return DecodeRateLimits(message);
     return DecodeReport(message);
   } catch (const Json::exception&) {
     // No failure is raised, since any host can send a datagram; the caller logs it.
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -121,11 +121,35 @@
   return statements_.UnavailableUntil(endpoint.record.id, endpoint.record.started);
 }
 
+bool EndpointPool::HasRoom(const PooledEndpoint& endpoint, MonotonicTime now) {
+  return rate_limits_.HasRoom(endpoint.record.id, endpoint.record.started, ranking_, now);
+}
+
+bool EndpointPool::IsRateLimited(const PooledEndpoint& endpoint) const {
+  return rate_limits_.IsLimited(endpoint.record.id, endpoint.record.started);
+}
+
+void EndpointPool::UseRateLimits(std::vector<PooledEndpoint*>& usable,
+                                 const EndpointRequirements& requirements) const {
+  const auto limited =
+      std::stable_partition(usable.begin(), usable.end(),
+                            [this](const auto* endpoint) { return !IsRateLimited(*endpoint); });
+  if (limited == usable.end()) return;
+  const bool has_others = limited != usable.begin();
+  if (requirements.optional && !has_others) {
+    usable.clear();
+  } else if (static_cast<double>(requirements.work.value()) >= kTokensPerPendingRequest) {
+    usable.erase(usable.begin(), limited);
+  }
+}
+
 std::optional<MonotonicTime> EndpointPool::FirstAvailableAt(
-    const EndpointRequirements& requirements, MonotonicTime now) const {
+    const EndpointRequirements& requirements, MonotonicTime now) {
   std::optional<MonotonicTime> first;
   for (const auto& [id, endpoint] : endpoints_) {
-    const MonotonicTime until = UnavailableUntil(endpoint);
+    const MonotonicTime until =
+        std::max(UnavailableUntil(endpoint),
+                 rate_limits_.NextRoom(id, endpoint.record.started, ranking_, now));
     if (until <= now || !IsUsable(endpoint, requirements)) continue;
     first = first ? std::min(*first, until) : until;
   }
@@ -197,9 +221,11 @@
   std::vector<PooledEndpoint*> usable;
   for (auto& [id, endpoint] : endpoints_) {
     if (UnavailableUntil(endpoint) > now) continue;
-    if (IsUsable(endpoint, requirements)) usable.push_back(&endpoint);
+    if (!IsUsable(endpoint, requirements)) continue;
+    if (HasRoom(endpoint, now)) usable.push_back(&endpoint);
   }
   SelectSubset(usable, requirements);
+  UseRateLimits(usable, requirements);
   std::vector<PooledEndpoint*> below_share;
   std::vector<PooledEndpoint*> above_share;
   std::vector<PooledEndpoint*> backed_off;
@@ -231,6 +257,7 @@
   ++endpoint.in_flight;
   endpoint.pending_work += work.value();
   endpoint.recent_sends.Add(now);
+  rate_limits_.OnSend(endpoint.record.id, endpoint.record.started, ranking_, now);
 }
 
 PooledEndpoint* EndpointPool::FindCurrent(const EndpointId& id, StartTime started) {
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -9,6 +9,7 @@
 #include "bamboodock/core/clock.h"
 #include "bamboodock/policy/cold_rate_limit.h"
 #include "bamboodock/policy/decaying_answer_counts.h"
+#include "bamboodock/policy/endpoint_rate_limits.h"
 #include "bamboodock/policy/endpoint_statements.h"
 #include "bamboodock/policy/entry_ranking.h"
 #include "bamboodock/policy/latency_baseline.h"
@@ -60,6 +61,10 @@
   /// Share of the usable endpoints that may be chosen; below 1 while a version is on trial, so that
   /// each chosen endpoint gets the load that it would get without a trial.
   Ratio subset_share{1.0};
+  /// Estimated work of the attempt.
+  Tokens work;
+  /// Whether the caller can be answered without the attempt.
+  bool optional = false;
 };
 
 /// All registered endpoints with their load and health. Used on the planning duty's thread only.
@@ -83,12 +88,14 @@
   /// Chooses an endpoint for one attempt; returns null when none is usable.
   PooledEndpoint* Choose(const EndpointRequirements& requirements, Random& random,
                          MonotonicTime now);
-  /// When the first of the endpoints that have asked for a pause takes requests again; empty when
-  /// none of those that meet the requirements has.
+  /// When the first of the endpoints that have asked for a pause or limit their rate takes requests
+  /// again; empty when none of those that meet the requirements has.
   std::optional<MonotonicTime> FirstAvailableAt(const EndpointRequirements& requirements,
-                                                MonotonicTime now) const;
+                                                MonotonicTime now);
   void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
+  EndpointRateLimits& rate_limits() { return rate_limits_; }
+  const EndpointRateLimits& rate_limits() const { return rate_limits_; }
   /// Records that an answer of the endpoint states that it drains. It is not chosen again in this
   /// lifetime, whatever its registration says. Returns whether that was not known before.
   bool OnDrainingStated(const EndpointId& id, StartTime started, MonotonicTime now);
@@ -130,6 +137,13 @@
   bool IsUsable(const PooledEndpoint& endpoint, const EndpointRequirements& requirements) const;
   /// Time until which the endpoint has asked not to be sent requests.
   MonotonicTime UnavailableUntil(const PooledEndpoint& endpoint) const;
+  /// Whether the rate limit that the endpoint names leaves room for a request of this entry.
+  bool HasRoom(const PooledEndpoint& endpoint, MonotonicTime now);
+  bool IsRateLimited(const PooledEndpoint& endpoint) const;
+  /// Leaves only the endpoints that make the best use of rate limits, which count requests of any
+  /// size.
+  void UseRateLimits(std::vector<PooledEndpoint*>& usable,
+                     const EndpointRequirements& requirements) const;
   static double TotalPending(const PooledEndpoint& endpoint, MonotonicTime now);
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
@@ -156,6 +170,7 @@
   LatencyBaseline latency_baseline_;
   /// Includes what registrations said, since an older one may be delivered again.
   EndpointStatements statements_;
+  EndpointRateLimits rate_limits_;
   /// Endpoints that each other entry listed in its last report.
   std::map<IncarnationId, std::vector<EndpointId>> reported_by_entry_;
   /// Cached results of `VersionCounts`; cleared when an endpoint changes.
--- a/src/bamboodock/command/router/peer_duty.h
+++ b/src/bamboodock/command/router/peer_duty.h
@@ -19,7 +19,8 @@
 namespace bamboodock {
 
 /// Command to the peer duty: a message to send, or further entries to send messages to.
-using PeerCommand = std::variant<PeerReport, PromptEvidenceReport, std::vector<PeerRecord>>;
+using PeerCommand =
+    std::variant<PeerReport, PromptEvidenceReport, RateLimitReport, std::vector<PeerRecord>>;
 
 /// Duty that exchanges messages with the other entries over UDP.
 ///
@@ -44,6 +45,7 @@
   void On(const PromptEvidenceReport& report) {
     Send(EncodePromptEvidence(report, clock_.Now()), next_for_evidence_);
   }
+  void On(const RateLimitReport& report) { Send(EncodeRateLimits(report), next_for_limits_); }
   void On(const std::vector<PeerRecord>& peers) { AddPeers(peers); }
   /// Sends the bytes to the peers that follow the one at position `last`, which it advances.
   void Send(const std::string& bytes, std::size_t& last);
@@ -60,9 +62,10 @@
   RingInbox<PeerCommand> inbox_;
   std::map<HostId, boost::asio::ip::udp::endpoint> peers_;
   /// Positions of the peers that were sent to last; sends go round robin over the peers. Each kind
-  /// of message has its own, so that all peers get both kinds.
+  /// of message has its own, so that all peers get all kinds.
   std::size_t next_for_reports_ = 0;
   std::size_t next_for_evidence_ = 0;
+  std::size_t next_for_limits_ = 0;
   std::array<char, kMaxDatagramSize> datagram_{};
   boost::asio::ip::udp::endpoint sender_;
   std::thread thread_;
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -41,6 +41,9 @@
   if (auto evidence = state_.TakePromptEvidence()) {
     static_cast<void>(outputs_.send_prompt_evidence(std::move(*evidence)));
   }
+  if (auto limits = state_.TakeRateLimits()) {
+    static_cast<void>(outputs_.send_rate_limits(std::move(*limits)));
+  }
   // If this is dropped, the store duty only polls the store more often.
   static_cast<void>(outputs_.peers_covered_until(state_.peers_covered_until()));
   PublishStatus();
@@ -63,6 +66,7 @@
   status->endpoints = state_.endpoint_count();
   status->entries = state_.entries();
   status->quarantined_prompt_parts = state_.quarantined_prompt_parts();
+  status->rate_limited_endpoints = state_.rate_limited_endpoints();
   status_.Store(std::move(status));
   const bool ready = state_.Ready();
   if (ready == ready_) return;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -17,6 +17,7 @@
   std::function<bool(const RolloutProgress&)> write_progress;
   std::function<bool(PeerReport)> send_report;
   std::function<bool(PromptEvidenceReport)> send_prompt_evidence;
+  std::function<bool(RateLimitReport)> send_rate_limits;
   /// Tells the store duty up to which time the other entries have confirmed the configuration.
   std::function<bool(MonotonicTime)> peers_covered_until;
 };
@@ -44,6 +45,7 @@
   void On(AttemptReport& report) { state_.Apply(report); }
   void On(PromptReport& report) { state_.Apply(report); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
+  void On(RateLimitReport& report) { state_.Apply(report); }
   void PublishStatus();
   void ReportDroppedLines();
 
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -260,6 +260,7 @@
   }
   ++services_.counters.refused;
   if (failure.code == ResultCode::kPromptQuarantined) ++services_.counters.prompts_refused;
+  if (failure.code == ResultCode::kEndpointAtLimit) ++services_.counters.refused_at_limit;
   LogEnd(Event::kRequestAnswered, HttpStatus(failure.code), Name(failure.code));
   const bool sent = co_await writer_.SendRefusal(std::move(failure));
   co_return sent&& writer_.keep_alive();
@@ -389,8 +390,8 @@
   if (!head.wrong_endpoint) attempt_.rate_limit = head.rate_limit;
   if (attempt_.draining) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
-                  plan.work, head.load, attempt_.draining, head.retry_after,
-                  attempt_.rate_limit || head.IsSuccess(), attempt_.rate_limit});
+                  plan.work, head.load, attempt_.draining, head.retry_after, attempt_.rate_limit,
+                  head.IsSuccess(), attempt_.started});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -83,6 +83,6 @@
 
 using RouteCommand =
     std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport, PromptReport, OperatorDelta,
-                 EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport>;
+                 EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -265,12 +265,14 @@
 
 PlanAnswer RouteState::RefuseWithoutEndpoint(const PlanQuery& query,
                                              const RequestProgress& progress,
-                                             const EndpointRequirements& requirements) const {
+                                             const EndpointRequirements& requirements) {
   const MonotonicTime now = clock_.Now();
   const std::string& service = progress.service->id.value();
   if (const auto available_at = pool_.FirstAvailableAt(requirements, now)) {
     return Refuse(query, ResultCode::kEndpointAtLimit,
-                  fmt::format("endpoints have asked for a pause, service={}", service),
+                  fmt::format("endpoints limit their rate or have asked for a pause, service={} "
+                              "rate_limited={}",
+                              service, pool_.rate_limits().limited_count()),
                   std::max<Duration>(*available_at - now, kRetryNoEndpoint));
   }
   return Refuse(
@@ -282,12 +284,19 @@
   const MonotonicTime now = clock_.Now();
   const CallerRequest& request = *query.request;
   RepeatBudget& budget = BudgetOf(progress.service->id);
+  ModelId model = request.metadata.model;
+  if (request.metadata.any_model) {
+    model = query.model.empty() ? ModelEscalation::First(progress.route->models) : query.model;
+  }
+  const Tokens work = EstimateWork(request, *progress.service, model);
   const VersionChoice choice = ChooseVersion(query, progress);
   EndpointRequirements requirements;
   requirements.service = progress.service;
   requirements.allows_version = choice.allows;
   requirements.tried = &progress.tried;
   requirements.shared = SharedTokens(request.metadata);
+  requirements.work = work;
+  requirements.optional = query.reason == PlanReason::kNextModel;
   if (requirements.shared >= kAffinityTokens) requirements.affinity = AffinityKey(request.metadata);
   requirements.subset_share = choice.subset_share;
   PooledEndpoint* endpoint = pool_.Choose(requirements, random_, now);
@@ -308,11 +317,6 @@
   if (repeat && !budget.TryRepeat(now, peers_.EntryCount())) {
     return Refuse(query, ResultCode::kRetryBudgetSpent, "retry budget of the service exhausted");
   }
-  ModelId model = request.metadata.model;
-  if (request.metadata.any_model) {
-    model = query.model.empty() ? ModelEscalation::First(progress.route->models) : query.model;
-  }
-  const Tokens work = EstimateWork(request, *progress.service, model);
   pool_.OnSend(*endpoint, work, now);
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
   const VersionId& version = endpoint->record.version;
@@ -365,6 +369,12 @@
 void RouteState::Apply(const HeadReport& report) {
   const MonotonicTime now = clock_.Now();
   pool_.OnHead(report, now);
+  if (report.rate_limit || report.success) {
+    const RateLimitStatement statement{report.endpoint, report.started, report.rate_limit,
+                                       report.rate_limit ? now : report.sent_at};
+    const auto change = pool_.rate_limits().Observe(statement, now);
+    if (change) LogRateLimit(report.request, statement, *change, "answer");
+  }
   if (!report.draining || !pool_.OnDrainingStated(report.endpoint, report.started, now)) return;
   log_.Write(Event::kEndpointDraining, report.request,
              fmt::format("endpoint={} started={} registered={}", report.endpoint.value(),
@@ -493,6 +503,43 @@
   }
 }
 
+void RouteState::LogRateLimit(const RequestId& request, const RateLimitStatement& statement,
+                              const EndpointRateLimits::Change& change,
+                              std::string_view source) const {
+  const auto text = [](const std::optional<RequestRate>& limit) {
+    return limit ? fmt::to_string(limit->value()) : "none";
+  };
+  log_.Write(Event::kRateLimitChanged, request,
+             fmt::format("endpoint={} started={} before={} after={} source={} age_ms={} rank={} "
+                         "entries={}",
+                         statement.endpoint.value(), statement.started.value(), text(change.before),
+                         text(change.after), source, ToMillis(clock_.Now() - statement.stated_at),
+                         pool_.ranking().Rank(statement.endpoint.value()), pool_.ranking().size()));
+}
+
+void RouteState::Apply(const RateLimitReport& report) {
+  if (!store_offset_) return;
+  const MonotonicTime now = clock_.Now();
+  for (const ReportedRateLimit& reported : report.limits) {
+    const RateLimitStatement statement{reported.endpoint, reported.started, reported.limit,
+                                       MonotonicTime(reported.stated + *store_offset_)};
+    const auto change = pool_.rate_limits().Merge(statement, now);
+    if (change) LogRateLimit(RequestId(), statement, *change, report.host.value());
+  }
+}
+
+std::optional<RateLimitReport> RouteState::TakeRateLimits() {
+  if (!store_offset_) return std::nullopt;
+  RateLimitReport report{identity_.host, {}};
+  for (const RateLimitStatement& statement : pool_.rate_limits().TakeReport(clock_.Now())) {
+    const Duration stated = statement.stated_at.time_since_epoch() - *store_offset_;
+    report.limits.push_back({statement.endpoint, statement.started, statement.limit,
+                             std::chrono::milliseconds(ToMillis(stated))});
+  }
+  if (report.limits.empty()) return std::nullopt;
+  return report;
+}
+
 std::vector<RolloutProgress> RouteState::Tick() {
   const MonotonicTime now = clock_.Now();
   sessions_.Prune(now);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -47,6 +47,7 @@
   void Apply(const RouterDelta& delta);
   void Apply(const PeerReport& report);
   void Apply(const PromptEvidenceReport& report) { prompts_.Apply(report, clock_.Now()); }
+  void Apply(const RateLimitReport& report);
 
   /// Does periodic work; returns the rollout rows to write to the store.
   std::vector<RolloutProgress> Tick();
@@ -56,6 +57,9 @@
     return prompts_.TakeReport(clock_.Now());
   }
 
+  /// Rate limits of endpoints for the other entries; empty when none is due.
+  std::optional<RateLimitReport> TakeRateLimits();
+
   /// Whether requests can be routed: a fresh configuration is installed, and endpoints and entries
   /// have been listed.
   bool Ready() const;
@@ -69,6 +73,7 @@
   MonotonicTime peers_covered_until() const { return peers_covered_until_; }
   std::uint32_t entries() const { return peers_.EntryCount(); }
   std::size_t endpoint_count() const { return pool_.size(); }
+  std::size_t rate_limited_endpoints() const { return pool_.rate_limits().limited_count(); }
   std::size_t quarantined_prompt_parts() const { return prompts_.quarantined_count(); }
 
  private:
@@ -85,7 +90,7 @@
                     Duration retry_after) const;
   /// Refuses a request for which no endpoint can be chosen.
   PlanAnswer RefuseWithoutEndpoint(const PlanQuery& query, const RequestProgress& progress,
-                                   const EndpointRequirements& requirements) const;
+                                   const EndpointRequirements& requirements);
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
   PlanAnswer ChooseAttempt(const PlanQuery& query, RequestProgress progress);
   VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
@@ -103,6 +108,9 @@
   /// as of a later time.
   void ExtendCoverage(const OperatorTableState& orders);
   Duration ColdTime(const ServiceId& service) const;
+  /// @param source Where the statement comes from: an answer or the report of an entry.
+  void LogRateLimit(const RequestId& request, const RateLimitStatement& statement,
+                    const EndpointRateLimits::Change& change, std::string_view source) const;
 
   RouterIdentity identity_;
   RouterLimits limits_;
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -24,6 +24,8 @@
   std::atomic<std::uint64_t> answers_lost_early{0};
   /// Requests refused because a part of their prompt crashes endpoints.
   std::atomic<std::uint64_t> prompts_refused{0};
+  /// Requests refused because endpoints limit their rate or have asked for a pause.
+  std::atomic<std::uint64_t> refused_at_limit{0};
   /// Answers that state that their endpoint drains.
   std::atomic<std::uint64_t> answers_draining{0};
   std::atomic<std::uint64_t> open_connections{0};
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -50,6 +50,7 @@
                      },
                      [this](PeerReport report) { return peers.Post(std::move(report)); },
                      [this](PromptEvidenceReport report) { return peers.Post(std::move(report)); },
+                     [this](RateLimitReport report) { return peers.Post(std::move(report)); },
                      [this](MonotonicTime until) {
                        return store.Post({std::nullopt, std::nullopt, until});
                      }},
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -89,6 +89,7 @@
     EventName{Event::kPromptPartReleased, "prompt_part_released"},
     EventName{Event::kPromptPartProbed, "prompt_part_probed"},
     EventName{Event::kRemovalDeferred, "removal_deferred"},
+    EventName{Event::kRateLimitChanged, "rate_limit_changed"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -92,6 +92,7 @@
   kPromptPartReleased = 729,
   kPromptPartProbed = 730,
   kRemovalDeferred = 731,
+  kRateLimitChanged = 732,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- a/src/bamboodock/policy/account_limiter.h
+++ b/src/bamboodock/policy/account_limiter.h
@@ -6,6 +6,7 @@
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/objects/client_account.h"
+#include "bamboodock/policy/token_bucket.h"
 
 namespace bamboodock {
 
@@ -30,13 +31,10 @@
 
  private:
   struct State {
-    double tokens = 0;
-    MonotonicTime refilled;
+    TokenBucket bucket;
     Concurrency in_flight{0};
   };
 
-  static double TokensAt(const State& state, const ClientAccount& account, MonotonicTime now);
-
   std::unordered_map<ClientAccountId, State> states_;
 };
 
--- a/src/bamboodock/policy/entry_ranking.h
+++ b/src/bamboodock/policy/entry_ranking.h
@@ -25,10 +25,13 @@
   void SetPeers(std::vector<HostId> peers) {
     peers_ = std::move(peers);
     known_ = true;
+    ++generation_;
   }
 
   /// Whether `SetPeers` has been called.
   bool known() const { return known_; }
+  /// Changes with each call of `SetPeers`.
+  std::uint64_t generation() const { return generation_; }
   /// Number of entries, this one included.
   std::uint32_t size() const { return static_cast<std::uint32_t>(peers_.size()) + 1; }
 
@@ -50,6 +53,7 @@
   HostId self_;
   std::vector<HostId> peers_;
   bool known_ = false;
+  std::uint64_t generation_ = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -30,6 +30,7 @@
     CounterRow{"bamboodock_answers_lost_early_total", "counter",
                &RouterCounters::answers_lost_early},
     CounterRow{"bamboodock_prompts_refused_total", "counter", &RouterCounters::prompts_refused},
+    CounterRow{"bamboodock_refused_at_limit_total", "counter", &RouterCounters::refused_at_limit},
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
@@ -68,6 +69,8 @@
   AppendGauge(text, "bamboodock_entries", status->entries);
   AppendGauge(text, "bamboodock_quarantined_prompt_parts",
               static_cast<double>(status->quarantined_prompt_parts));
+  AppendGauge(text, "bamboodock_rate_limited_endpoints",
+              static_cast<double>(status->rate_limited_endpoints));
   AppendGauge(text, "bamboodock_dropped_log_lines", static_cast<double>(DroppedLogLines()));
   AppendLatency(text, counters_);
   return text;
--- a/src/bamboodock/query/router/router_status.h
+++ b/src/bamboodock/query/router/router_status.h
@@ -15,6 +15,7 @@
   std::size_t endpoints = 0;
   std::uint32_t entries = 1;
   std::size_t quarantined_prompt_parts = 0;
+  std::size_t rate_limited_endpoints = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -104,10 +104,12 @@
   bool draining = false;
   /// How long the endpoint wants no further requests from this host.
   std::optional<Duration> retry_after;
-  /// Whether the answer speaks for the endpoint: it is a success, or it names a rate limit.
-  bool states_rate_limit = false;
-  /// Rate limit that the answer names; empty when it names none.
+  /// Rate limit that the answer names.
   std::optional<RequestRate> rate_limit;
+  /// Whether an answer that names no limit shows that there is none: a success does.
+  bool success = false;
+  /// When the request was sent.
+  MonotonicTime sent_at{};
 };
 
 /// Outcome of one attempt, for the load estimate and the rollout evidence about versions.
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/evidence_counters.h"
 #include "bamboodock/policy/prompt_evidence.h"
+#include "bamboodock/routing/endpoint_record.h"
 
 namespace bamboodock {
 
@@ -64,6 +66,22 @@
   std::vector<PromptPartEvidence> parts;
 };
 
-using PeerMessage = std::variant<PeerReport, PromptEvidenceReport>;
+/// What an endpoint said about its rate limit, with the time on the store's clock, which all
+/// entries know.
+struct ReportedRateLimit {
+  EndpointId endpoint;
+  StartTime started;
+  /// Empty when the endpoint names no limit any more.
+  std::optional<RequestRate> limit;
+  std::chrono::milliseconds stated{0};
+};
+
+/// Rate limits of endpoints, as known to an entry. Sent when there are any.
+struct RateLimitReport {
+  HostId host;
+  std::vector<ReportedRateLimit> limits;
+};
+
+using PeerMessage = std::variant<PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
+#include <limits>
+
+#include "bamboodock/policy/endpoint_rate_limits.h"
 #include "bamboodock/policy/random.h"
 
 namespace bamboodock {
@@ -16,6 +20,8 @@
   CPPUNIT_TEST_SUITE(PeerCodecTest);
   CPPUNIT_TEST(RoundTripKeepsEveryField);
   CPPUNIT_TEST(PromptEvidenceKeepsItsAge);
+  CPPUNIT_TEST(RateLimitsKeepTheirTimes);
+  CPPUNIT_TEST(InvalidRateLimitsAreRejected);
   CPPUNIT_TEST(RandomDatagramsDoNotCrash);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +85,36 @@
     CPPUNIT_ASSERT(loss.endpoint == EndpointLifetimeHash(~3U) && loss.request == RequestHash(~2U));
   }
 
+  // Guards against limits that seem older or newer at another entry, and against a full report that
+  // does not fit into a datagram.
+  void RateLimitsKeepTheirTimes() {
+    RateLimitReport report{HostId("front-valle-aburra-1"), {}};
+    for (std::size_t i = 0; i < EndpointRateLimits::kMaxReported; ++i) {
+      report.limits.push_back({EndpointId("i-40f425ee5c"), StartTime(1785753368000),
+                               RequestRate(2.6), std::chrono::milliseconds(99999999)});
+    }
+    report.limits.back().limit.reset();
+    const std::string bytes = EncodeRateLimits(report);
+    CPPUNIT_ASSERT(bytes.size() <= 1400);
+    const auto message = DecodePeerMessage(bytes, kNow);
+    CPPUNIT_ASSERT(message);
+    const auto& decoded = std::get<RateLimitReport>(*message);
+    CPPUNIT_ASSERT(decoded.host == report.host && decoded.limits.size() == report.limits.size());
+    CPPUNIT_ASSERT(decoded.limits.front().limit == RequestRate(2.6));
+    CPPUNIT_ASSERT(decoded.limits.front().started == StartTime(1785753368000));
+    CPPUNIT_ASSERT(decoded.limits.front().stated == std::chrono::milliseconds(99999999));
+    CPPUNIT_ASSERT(!decoded.limits.back().limit);
+  }
+
+  // Guards against an endpoint that is overloaded or left out because of a malformed report.
+  void InvalidRateLimitsAreRejected() {
+    for (const double rate : {-1.0, std::numeric_limits<double>::infinity(), std::nan("")}) {
+      RateLimitReport report{HostId("h1"), {}};
+      report.limits.push_back({EndpointId("e1"), StartTime(1), RequestRate(rate), {}});
+      CPPUNIT_ASSERT(!DecodePeerMessage(EncodeRateLimits(report), kNow));
+    }
+  }
+
   // Guards against a crash of the process by datagrams of other programs.
   void RandomDatagramsDoNotCrash() {
     Random random(7);
--- a/test/fakes/entry_fleet.h
+++ b/test/fakes/entry_fleet.h
@@ -211,8 +211,9 @@
     HeadReport head;
     head.endpoint = plan.endpoint;
     head.started = plan.started;
-    head.states_rate_limit = true;
     head.rate_limit = limit;
+    head.success = true;
+    head.sent_at = clock_.Now() - kAnswerTime;
     entry.state->Apply(head);
     AttemptReport report;
     report.endpoint = plan.endpoint;
@@ -230,6 +231,7 @@
       if (!entry->running) continue;
       entry->state->Tick();
       Deliver(*entry, entry->state->MakeReport());
+      if (const auto limits = entry->state->TakeRateLimits()) Deliver(*entry, *limits);
     }
   }
 
