Keep the room of rate-limited endpoints for attempts with much work

Callers saw: slow answers while many endpoints limit their rate, as the others are overloaded. Cause: a limit counts requests of any size, and light requests used it up. Change: attempts with much work go to limited endpoints with room, light ones to the others while there are any. An escalation leaves the room alone when there is nothing else.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -136,10 +136,14 @@
                             [this](const auto* endpoint) { return !IsRateLimited(*endpoint); });
   if (limited == usable.end()) return;
   const bool has_others = limited != usable.begin();
-  if (requirements.optional && !has_others) {
-    usable.clear();
-  } else if (static_cast<double>(requirements.work.value()) >= kTokensPerPendingRequest) {
+  const bool has_much_work =
+      static_cast<double>(requirements.work.value()) >= kTokensPerPendingRequest;
+  if (!has_others) {
+    if (requirements.optional) usable.clear();
+  } else if (has_much_work) {
     usable.erase(usable.begin(), limited);
+  } else {
+    usable.erase(limited, usable.end());
   }
 }
 
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -141,7 +141,8 @@
   bool HasRoom(const PooledEndpoint& endpoint, MonotonicTime now);
   bool IsRateLimited(const PooledEndpoint& endpoint) const;
   /// Leaves only the endpoints that make the best use of rate limits, which count requests of any
-  /// size.
+  /// size: those with a limit for much work, the others for little. Without others, only optional
+  /// attempts keep away from the limited ones.
   void UseRateLimits(std::vector<PooledEndpoint*>& usable,
                      const EndpointRequirements& requirements) const;
   static double TotalPending(const PooledEndpoint& endpoint, MonotonicTime now);
