Let the owners of a rate limit save up some room

Callers saw: slow answers while endpoints limit their rate, more so at 29 entries and more. Cause: a bucket of one request loses what comes while its entry has nothing to send. Change: a bucket holds one request and a quarter second of the whole limit.

--- a/src/bamboodock/policy/endpoint_rate_limits.cc
+++ b/src/bamboodock/policy/endpoint_rate_limits.cc
@@ -59,9 +59,9 @@
 }
 
 TokenBucketLimits EndpointRateLimits::ShareOf(const State& state, const EntryRanking& ranking) {
-  const RequestRate rate(kPlannedFraction * state.limit->value() /
-                         std::min(kOwners, ranking.size()));
-  return {rate, std::max(1.0, rate.value() * Seconds(kBurst).count())};
+  const double limit = state.limit->value();
+  const RequestRate rate(kPlannedFraction * limit / std::min(kOwners, ranking.size()));
+  return {rate, 1 + limit * Seconds(kBurst).count()};
 }
 
 bool EndpointRateLimits::MayProbe(const State& state, const EntryRanking& ranking,
--- a/src/bamboodock/policy/endpoint_rate_limits.h
+++ b/src/bamboodock/policy/endpoint_rate_limits.h
@@ -44,8 +44,8 @@
   static constexpr std::uint32_t kOwners = 3;
   /// Part of a limit that is shared out; the rest covers entries that do not know each other yet.
   static constexpr double kPlannedFraction = 0.9;
-  /// An owner may send at once what its share allows in this time, and at least one request.
-  static constexpr std::chrono::milliseconds kBurst{100};
+  /// An owner may send at once one request, and what the whole limit allows in this time.
+  static constexpr std::chrono::milliseconds kBurst{250};
   /// Time without a statement after which an entry probes an endpoint, and the next one after it.
   static constexpr std::chrono::seconds kProbeInterval{5};
   /// Statements of other entries count only below this age.
