Replay an endpoint that names a rate limit

Cause: the decision needs a trace from which it can be explained. Measured: the replay of all traces passes.

--- a/src/bamboodock/replay/replayer.cc
+++ b/src/bamboodock/replay/replayer.cc
@@ -17,8 +17,8 @@
       {"attempt", &MakeAttemptReplay},       {"billing", &MakeBillingReplay},
       {"claim", &MakeClaimReplay},           {"freshness", &MakeFreshnessReplay},
       {"lease", &MakeLeaseReplay},           {"publication", &MakePublicationReplay},
-      {"quarantine", &MakeQuarantineReplay}, {"stream", &MakeStreamReplay},
-      {"witness", &MakeWitnessReplay},
+      {"quarantine", &MakeQuarantineReplay}, {"rate_limit", &MakeRateLimitReplay},
+      {"stream", &MakeStreamReplay},         {"witness", &MakeWitnessReplay},
   };
   return kFactories;
 }
