--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -131,6 +131,7 @@
 class StoreDutyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreDutyTest);
   CPPUNIT_TEST(ListsAndFollows);
+  CPPUNIT_TEST(OddRowDoesNotStopTheOthers);
   CPPUNIT_TEST(ListsAgainAfterHistoryLoss);
   CPPUNIT_TEST(KeepsExpiredEndpointsForGracePeriod);
   CPPUNIT_TEST(EndpointThatLeavesAfterAnOutageIsRemovedInTime);
@@ -158,6 +159,29 @@
         [](RecordingListener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
   }
 
+  // Guards against a router that no longer follows the registrations because of one that cannot be
+  // read.
+  void OddRowDoesNotStopTheOthers() {
+    // The first value is 30,000 opening brackets in base64, the second is not text.
+    std::string odd;
+    std::string nested;
+    for (int i = 0; i < 10000; ++i) nested += "W1tb";
+    for (const std::string& value : {"\"" + nested + "\"", std::string("7")}) {
+      odd += R"(,{"tableName":"servers","part":"","key":"odd","ver":4,"value":)" + value + "}";
+    }
+    Run(
+        [odd](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-get", "servers")) {
+            return Keep(Rows(EndpointRow("e1", 3) + odd, 4));
+          }
+          if (IsCallFor(request, "rows-feed", "servers") && After(request) == 4) {
+            return Keep(Rows(EndpointRow("e2", 5) + odd + "," + kRemovedEndpoint, 9));
+          }
+          return DefaultAnswer(request);
+        },
+        [](RecordingListener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
+  }
+
   // Guards against endpoints that stay in use indefinitely because their removal fell into a gap of
   // the feed.
   void ListsAgainAfterHistoryLoss() {
--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -35,6 +35,12 @@
                        [](const Failure&) { return std::optional<RolloutProgress>(); });
 }
 
+/// Registration in which the text `from` is replaced.
+std::string Replace(const std::string& from, const std::string& to) {
+  std::string text = kRegistration;
+  return text.replace(text.find(from), from.size(), to);
+}
+
 template <class Read>
 bool FailsWithBadMessage(Read read) {
   return HandleFailure(
@@ -53,6 +59,7 @@
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST(EndpointIsDecoded);
   CPPUNIT_TEST(MalformedRowsAreRejected);
+  CPPUNIT_TEST(OddRegistrationsAreRejected);
   CPPUNIT_TEST(MutatedRowsNeverCrash);
   CPPUNIT_TEST(RolloutProgressRoundTrips);
   CPPUNIT_TEST(MalformedProgressIsRejected);
@@ -107,6 +114,36 @@
         [&] { return directory.DecodeOperatorRow(Row("op", "config", "{}")); }));
   }
 
+  // Guards against an entry that ends, stops following the registrations or sends all requests to
+  // one endpoint because of a row that another writer has left.
+  void OddRegistrationsAreRejected() {
+    std::vector<std::string> values{std::string(60000, '['), std::string(60000, '['), "\xff\xfe"};
+    values[1] += std::string(60000, ']');
+    std::string nested = "1";
+    for (int i = 0; i < 10000; ++i) nested = R"({"a":)" + nested + "}";
+    values.push_back(nested);
+    for (const char* number : {"1e300", "1e999", "-1", "4294967297", "4294967295", "1.5", "null"}) {
+      values.push_back(Replace("64", number));
+    }
+    for (const char* number : {"1e300", "-1e300", "1e999", "9223372036854775807", "[]"}) {
+      values.push_back(Replace("1500", number));
+    }
+    for (const char* number : {"1e300", "18446744073709551615", "1.5", "-1"}) {
+      values.push_back(Replace("1787956282063", number));
+    }
+    for (const char* port : {"65536", "70000", "0", "-1", "99999999999999999999", "8080x", ""}) {
+      values.push_back(Replace("8080", port));
+    }
+    values.push_back(Replace("10.0.0.9", "10.0.0.999"));
+    values.push_back(Replace("\"ready\"", nested));
+    for (const std::string& value : values) {
+      CPPUNIT_ASSERT_MESSAGE(
+          value.substr(0, 200), FailsWithBadMessage([&] {
+            return PlatformDirectoryCodec().DecodeEndpoint(Row("servers", "e1", value));
+          }));
+    }
+  }
+
   // Guards against rows that crash the process: single bytes of valid rows are changed at random.
   void MutatedRowsNeverCrash() {
     const PlatformDirectoryCodec directory;
