Mend two findings of the linter

Cause: a condition without braces around co_await, and a move of a trivially copyable value. Change: style only.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -288,7 +288,9 @@
     } else {
       done = co_await ListAll(watch, emit);
     }
-    if (!done) co_await PauseBeforeRetry(watch);
+    if (!done) {
+      co_await PauseBeforeRetry(watch);
+    }
   }
 }
 
--- a/src/bamboodock/policy/endpoint_rate_limits.cc
+++ b/src/bamboodock/policy/endpoint_rate_limits.cc
@@ -16,8 +16,8 @@
   auto found = states_.find(lifetime);
   if (found == states_.end()) {
     if (!statement.limit) return std::nullopt;
-    State added{std::nullopt, {}, {}, {}, TokenBucket(0, now), {}, 0, 0};
-    found = states_.emplace(lifetime, std::move(added)).first;
+    const State added{std::nullopt, {}, {}, {}, TokenBucket(0, now), {}, 0, 0};
+    found = states_.emplace(lifetime, added).first;
   }
   State& state = found->second;
   if (statement.stated_at <= state.stated_at) return std::nullopt;
