Announce the close in answers that a drain overtakes

Callers would see: a request on a kept connection that the router closes unread, since the answer before it did not say that the connection closes. Cause: whether the connection stays open was decided when the request was read.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -88,8 +88,10 @@
       MakeRef<DisconnectMonitor>(stream_.socket(), [&exchange] { exchange.OnCallerClosed(); });
   monitor->Start();
   exchange_ = &exchange;
+  writer_ = &writer;
   const bool reusable = co_await exchange.Run();
   exchange_ = nullptr;
+  writer_ = nullptr;
   monitor->Stop();
   --services_.counters.open_requests;
   // A request whose first bytes were read is answered, also while the process stops.
--- a/src/bamboodock/command/router/caller_connection.h
+++ b/src/bamboodock/command/router/caller_connection.h
@@ -36,6 +36,10 @@
 
   /// Serves requests until the connection closes. Holds a reference to the connection meanwhile.
   static asio::awaitable<void> Run(Ref<CallerConnection> self);
+  /// Has the answer in progress announce that the connection closes, unless it has begun.
+  void OnDrain() {
+    if (writer_ != nullptr) writer_->set_keep_alive(false);
+  }
   /// Closes the connection unless a request is being read or served.
   void CloseIfIdle();
   /// Ends the request that is being served with a refusal or a truncated stream. A request that is
@@ -55,6 +59,8 @@
   CallerReader reader_;
   /// Request that is being served; null between requests.
   RequestExchange* exchange_ = nullptr;
+  /// Writer of its answer.
+  AnswerWriter* writer_ = nullptr;
   bool busy_ = false;
   bool ended_ = false;
 };
--- a/src/bamboodock/command/router/network_duty.cc
+++ b/src/bamboodock/command/router/network_duty.cc
@@ -37,7 +37,10 @@
 }
 
 void NetworkDuty::BeginDrain() {
-  asio::post(loop_, [this] { drain_.phase = DrainPhase::kDraining; });
+  asio::post(loop_, [this] {
+    drain_.phase = DrainPhase::kDraining;
+    for (CallerConnection& connection : connections_) connection.OnDrain();
+  });
 }
 
 void NetworkDuty::CloseIdle() {
