Test answers whose head is cut short

Cause: other operators report clients that got a 200 with an empty body when an endpoint ended in the middle of the head of its answer. Change: AnswerWithACutHeadIsNotDelivered cuts the head every five bytes, with and without an interim answer before it. It passed at once: the fault cannot happen here.

--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(UnprovenNotRunStatusIsNotForwarded);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNotBelieved);
   CPPUNIT_TEST(TruncatedAnswerIsNotDelivered);
+  CPPUNIT_TEST(AnswerWithACutHeadIsNotDelivered);
   CPPUNIT_TEST(LowConfidenceEscalatesToLargerModel);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
   CPPUNIT_TEST(AmbiguousFramingIsRefused);
@@ -233,6 +234,28 @@
     CPPUNIT_ASSERT(answers.find("answer 1", second + 1) == std::string::npos);
   }
 
+  // Guards against a success with an empty or short body when an endpoint ends in the middle of the
+  // head of its answer.
+  void AnswerWithACutHeadIsNotDelivered() {
+    constexpr std::size_t kStep = 5;
+    const std::string whole = FullAnswer("200 OK", kAnswerHeaders, "");
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const RouteKind kind : {RouteKind::kUnsafe, RouteKind::kStream}) {
+      for (std::size_t size = 1; size < whole.size(); size += kStep) {
+        for (const std::string& before : {std::string(), interim}) {
+          ScriptedServer endpoint([&](const auto&, std::size_t) {
+            return Answer{before + whole.substr(0, size), ConnectionAction::kClose};
+          });
+          PlannedRouter router(MakeRoute(kind));
+          router.Plan(endpoint.address());
+          const std::string answer = router.Exchange(PostRequest());
+          CPPUNIT_ASSERT_MESSAGE(whole.substr(0, size) + "\n" + answer,
+                                 answer.starts_with("HTTP/1.1 502"));
+        }
+      }
+    }
+  }
+
   // Guards against a request that is sent on a permission that ran out while the process was paused
   // or the connection was opened.
   void ExpiredPlanIsNotSent() {
