--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -119,8 +119,9 @@
   void OddRegistrationsAreRejected() {
     std::vector<std::string> values{std::string(60000, '['), std::string(60000, '['), "\xff\xfe"};
     values[1] += std::string(60000, ']');
-    std::string nested = "1";
-    for (int i = 0; i < 10000; ++i) nested = R"({"a":)" + nested + "}";
+    std::string nested;
+    for (int i = 0; i < 10000; ++i) nested += R"({"a":)";
+    nested += "1" + std::string(10000, '}');
     values.push_back(nested);
     for (const char* number : {"1e300", "1e999", "-1", "4294967297", "4294967295", "1.5", "null"}) {
       values.push_back(Replace("64", number));
--- a/test/policy/endpoint_rate_limits_test.cc
+++ b/test/policy/endpoint_rate_limits_test.cc
@@ -187,8 +187,9 @@
     for (std::int64_t interval = 0; interval < 12; ++interval) {
       std::size_t probes = 0;
       for (std::int64_t now = 0; now < 5000; now += kStepMs) {
-        for (BusyEntry& entry : entries)
-          probes += entry.TrySend(6000 + interval * 5000 + now) ? 1 : 0;
+        for (BusyEntry& entry : entries) {
+          if (entry.TrySend(6000 + interval * 5000 + now)) ++probes;
+        }
       }
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, probes);
     }
