--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -95,6 +95,7 @@
         self.record = record
         self.rows = {}
         self.version = 0
+        self.body_after_s = 0.0  # Pause between the head and the body of an answer.
         self.changed = asyncio.Condition()
         self.port = None
 
@@ -112,12 +113,12 @@
         self.record(f"store: drop {table}/{key}")
 
     async def apply(self, puts, drops):
+        self.version += 1
+        for table, key, value in puts:
+            self.rows[(table, key)] = (self.version, value)
+        for table, key in drops:
+            self.rows[(table, key)] = (self.version, None)
         async with self.changed:
-            self.version += 1
-            for table, key, value in puts:
-                self.rows[(table, key)] = (self.version, value)
-            for table, key in drops:
-                self.rows[(table, key)] = (self.version, None)
             self.changed.notify_all()
 
     def row(self, name):
@@ -148,7 +149,8 @@
         return 200, {"rows": self.changes(table, after), "morePages": False}
 
     async def transact(self, body):
-        request = json.loads(body)
+        await asyncio.sleep(0.008)
+        request = json.loads(body)  # From here on nothing waits, so the call is atomic.
         current = []
         conflict = False
         for row in request["expectedRev"]:
@@ -160,7 +162,6 @@
                 current.append(self.row(name))
         if conflict:
             return 412, {"rows": current}
-        await asyncio.sleep(0.008)
         puts = [(r["tableName"], r["key"], base64.b64decode(r["value"])) for r in request["puts"]]
         for table, key, value in puts:
             self.record(f"store: router wrote {table}/{key} {value.decode()[:160]}")
@@ -190,8 +191,15 @@
                 answer["ver"] = self.version
                 answer["nowMs"] = int((time.monotonic() - START) * 1000) + 50000
                 data = json.dumps(answer).encode()
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                             f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+                reason = {200: "OK", 404: "Not Found", 412: "Precondition Failed"}[status]
+                head = (f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n"
+                        f"Content-Length: {len(data)}\r\n\r\n").encode()
+                if self.body_after_s > 0:
+                    writer.write(head)
+                    await writer.drain()
+                    await asyncio.sleep(self.body_after_s)
+                    head = b""
+                writer.write(head + data)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -285,7 +293,7 @@
     async def start(self):
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                os.path.join(ROOT, "target", "bamboodock-router"), cwd=ROOT,
+                os.environ.get("ROUTER") or os.path.join(ROOT, "target", "bamboodock-router"), cwd=ROOT,
                 env={"PATH": os.environ.get("PATH", ""), "BAMBOODOCK_CONFIG": self.settings},
                 stdout=log, stderr=log)
         self.record(f"{self.name}: started, pid {self.process.pid}")
