--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -20,30 +21,30 @@
 MAX_BODY = 4194304
 GRACE_S = 8
 START = time.monotonic()
+handed_out = set()
 
 
-def free_ports(count):
-    """Ports that are free at the moment, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+def is_free(port):
+    """Whether nothing uses the port on loopback, for TCP or for datagrams."""
+    try:
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+
 
+def free_port():
+    """A port that is free and not handed out before, as is the one after it.
 
-def free_pair():
-    """A free port whose successor is free too, for --internal_ports."""
+    It lies below the range from which the system takes the ports of outgoing connections.
+    """
     while True:
-        port = free_ports(1)[0]
-        try:
-            for kind, number in ((socket.SOCK_DGRAM, port), (socket.SOCK_STREAM, port + 1)):
-                with socket.socket(socket.AF_INET, kind) as sock:
-                    sock.bind(("127.0.0.1", number))
+        port = random.randrange(12000, 32000, 2)
+        if port not in handed_out and is_free(port) and is_free(port + 1):
+            handed_out.add(port)
             return port
-        except OSError:
-            continue
 
 
 class Record:
@@ -276,8 +277,8 @@
     def __init__(self, store, record, name="front-alex-west-1", ip="127.0.0.1", internal=None):
         self.record, self.name = record, name
         self.folder = tempfile.mkdtemp(prefix="bamboodock-review-")
-        self.callers, self.ready = free_ports(2)
-        internal = internal or free_pair()
+        self.callers, self.ready = free_port(), free_port()
+        internal = internal or free_port()
         with open(os.path.join(ROOT, "deploy", "router.flags"), encoding="utf-8") as file:
             text = file.read()
         values = {
