--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -50,7 +50,8 @@
 EndpointCall::EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits)
     : limits_(limits), stream_(executor), buffer_(limits.head.value() + kReadAhead) {}
 
-CallStatus EndpointCall::Classify(const SocketError& error) const {
+CallStatus EndpointCall::OnReadError(const SocketError& error) {
+  trace_.read_error = error;
   if (cancelled_) return CallStatus::kCancelled;
   if (error == beast::error::timeout) return CallStatus::kSilent;
   if (IsLimitError(error)) return CallStatus::kTooLarge;
@@ -82,10 +83,17 @@
   const bool has_body = !request->body.empty() || request->method == "POST" ||
                         request->method == "PUT" || request->method == "PATCH";
   if (has_body) message.content_length(request->body.size());
-  SocketError error;
-  co_await http::async_write(self->stream_, message, CaptureError(error));
-  // Write errors are ignored: the endpoint may answer before it has read the whole request, and the
-  // read of the answer reports a broken connection.
+  http::request_serializer<http::span_body<const char>> serializer(message);
+  CallTrace& trace = self->trace_;
+  while (!serializer.is_done() && !trace.write_error) {
+    const std::size_t size =
+        co_await http::async_write_some(self->stream_, serializer, CaptureError(trace.write_error));
+    trace.sent += Bytes(size);
+  }
+  trace.sent_whole = serializer.is_done();
+  if (self->cancelled_) trace.write_error = {};
+  // A write error does not end the call: the endpoint may have answered without reading the whole
+  // request, and the read of the answer reports a broken connection.
 }
 
 void EndpointCall::Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added) {
@@ -129,7 +137,7 @@
     parser_->skip(head_only_);
     co_await http::async_read_header(stream_, buffer_, *parser_, CaptureError(error));
     if (error) {
-      head.status = Classify(error);
+      head.status = OnReadError(error);
       co_return head;
     }
     head.code = static_cast<int>(parser_->get().result_int());
@@ -156,7 +164,7 @@
   if (parser_->is_done()) {
     chunk.status = CallStatus::kEnd;
   } else if (error && error != http::error::need_more) {
-    chunk.status = Classify(error);
+    chunk.status = OnReadError(error);
   }
 }
 
@@ -183,7 +191,7 @@
     error = {};
     parser_->put_eof(error);
   }
-  chunk.status = error ? Classify(error) : CallStatus::kEnd;
+  chunk.status = error ? OnReadError(error) : CallStatus::kEnd;
   co_return chunk;
 }
 
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -46,6 +46,18 @@
   std::string bytes;
 };
 
+/// How far a request was sent and why its connection ended, for log lines.
+struct CallTrace {
+  /// Bytes of the request, head included, that the operating system has accepted.
+  Bytes sent;
+  /// Whether these are the whole request.
+  bool sent_whole = false;
+  /// Why the rest was not sent; none as long as the write goes on.
+  SocketError write_error;
+  /// Why the answer could not be read further.
+  SocketError read_error;
+};
+
 /// One request to one endpoint over a dedicated connection.
 ///
 /// Connections are not pooled: a new one costs about a millisecond and cannot carry bytes of
@@ -66,6 +78,7 @@
   asio::awaitable<CallHead> ReadHead(std::chrono::milliseconds timeout);
   /// Reads the available bytes of the body. They may be none if only framing has arrived.
   asio::awaitable<BodyChunk> Read(std::chrono::milliseconds timeout);
+  const CallTrace& trace() const { return trace_; }
   /// Whether the body has a length or chunks; without them it ends with the connection.
   bool HasFraming() const { return parser_ && !parser_->need_eof(); }
   /// Closes the connection, on which the endpoint aborts the request.
@@ -74,7 +87,8 @@
  private:
   using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  CallStatus Classify(const SocketError& error) const;
+  /// Records the error of a read and returns the status that it means.
+  CallStatus OnReadError(const SocketError& error);
   /// Parses the bytes received and adds those of the body to `chunk`.
   void ParseBuffered(BodyChunk& chunk);
   /// Sends the request. Holds a reference to the call, since the write may outlive the wait for the
@@ -83,6 +97,7 @@
                                      std::vector<HttpHeader> added);
 
   AnswerLimits limits_;
+  CallTrace trace_;
   beast::tcp_stream stream_;
   /// Also holds the framing of a chunk, which an endpoint may extend without end.
   beast::flat_buffer buffer_;
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -41,6 +41,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(*time).count();
 }
 
+/// Text of an error for a log line; empty when there is none.
+std::string ErrorText(const SocketError& error) { return error ? error.message() : std::string(); }
+
+/// Fields of a log line about a transfer that had errors or is not complete; empty otherwise.
+std::string TransferText(const CallTrace& trace) {
+  if (trace.sent_whole && !trace.read_error) return {};
+  return fmt::format(" sent_bytes={} sent_whole={} write_error='{}' read_error='{}'",
+                     trace.sent.value(), trace.sent_whole, ErrorText(trace.write_error),
+                     ErrorText(trace.read_error));
+}
+
 AttemptOutcome OutcomeOf(CallStatus status) {
   switch (status) {
     case CallStatus::kUnreachable:
@@ -117,16 +128,18 @@
   const bool whole_stream = outcome == AttemptOutcome::kSuccess && IsStreamRoute() &&
                             !request_->metadata.last_event.has_value();
   if (whole_stream) report.stream_events = events_.taken();
+  const CallTrace trace = attempt_.sent ? call_->trace() : CallTrace{};
+  if (trace.write_error) ++services_.counters.request_writes_failed;
   const RequestId id(request_->metadata.attempt.value());
   services_.log.Write(
       Event::kAttemptEnded, id,
       fmt::format("endpoint={} outcome={} connect_ms={} head_ms={} events={} event_ms={} "
-                  "draining={} limit={} note='{}'",
+                  "draining={} limit={} note='{}'{}",
                   plan.endpoint.value(), Name(outcome), MillisOrNone(attempt_.connect_time),
                   MillisOrNone(attempt_.head_latency), attempt_.events,
                   MillisOrNone(report.event_interval), attempt_.draining,
                   attempt_.rate_limit ? fmt::to_string(attempt_.rate_limit->value()) : "none",
-                  detail));
+                  detail, attempt_.sent ? TransferText(trace) : std::string()));
   LogLostPrompt(plan);
   if (const auto fate = attempt_.Fate(outcome)) ReportPrompt(plan, *fate);
   Post(std::move(report));
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -32,6 +32,8 @@
     CounterRow{"bamboodock_prompts_refused_total", "counter", &RouterCounters::prompts_refused},
     CounterRow{"bamboodock_refused_at_limit_total", "counter", &RouterCounters::refused_at_limit},
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
+    CounterRow{"bamboodock_request_writes_failed_total", "counter",
+               &RouterCounters::request_writes_failed},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
 };
