Tell endpoints and callers that read late from lost ones

Callers lost the answers of sound endpoints that read a long request more than 2 s late, and callers that paused for 4 s before they read a long answer lost the rest of it. Cause: TCP_USER_TIMEOUT was to detect lost hosts. The kernel also applies it to bytes that the other end has acknowledged the window for but does not read: with a full receive window the connection fails after the timeout although each window probe is answered. Change: connections to endpoints and callers have no TCP_USER_TIMEOUT. Connections to the store keep the kernel's timeout, their calls are short. Keep-alive fails an idle connection after the same time as before. Why it works: an end that reads nothing still acknowledges, one that is lost does not.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -3,11 +3,12 @@
 #include <utility>
 
 #include "bamboodock/command/router/disconnect_monitor.h"
+#include "bamboodock/command/router/liveness_monitor.h"
 
 namespace bamboodock {
 namespace {
 
-/// Approximate time after which TCP keep-alive detects that the host of a caller is gone.
+/// How long the host of a caller may be unresponsive before it is taken for lost.
 constexpr std::chrono::seconds kCallerTimeout{4};
 
 /// Delay after which the load balancer sends a retry to another entry.
@@ -87,12 +88,18 @@
   auto monitor =
       MakeRef<DisconnectMonitor>(stream_.socket(), [&exchange] { exchange.OnCallerClosed(); });
   monitor->Start();
+  auto liveness = MakeRef<LivenessMonitor>(stream_.socket(), kCallerTimeout, [this, &exchange] {
+    exchange.OnCallerClosed();
+    stream_.close();
+  });
+  liveness->Start();
   exchange_ = &exchange;
   writer_ = &writer;
   const bool reusable = co_await exchange.Run();
   exchange_ = nullptr;
   writer_ = nullptr;
   monitor->Stop();
+  liveness->Stop();
   --services_.counters.open_requests;
   // A request whose first bytes were read is answered, also while the process stops.
   co_return reusable && (drain_.phase == DrainPhase::kOpen || reader_.HasBytes());
--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -51,7 +51,7 @@
     : limits_(limits), stream_(executor), buffer_(limits.head.value() + kReadAhead) {}
 
 CallStatus EndpointCall::OnReadError(const SocketError& error) {
-  trace_.read_error = error;
+  trace_.read_error = lost_ ? SocketError(asio::error::timed_out) : error;
   if (cancelled_) return CallStatus::kCancelled;
   if (error == beast::error::timeout) return CallStatus::kSilent;
   if (IsLimitError(error)) return CallStatus::kTooLarge;
@@ -59,16 +59,28 @@
   return CallStatus::kBroken;
 }
 
+EndpointCall::~EndpointCall() {
+  if (liveness_) liveness_->Stop();
+}
+
 void EndpointCall::Cancel() {
   cancelled_ = true;
   stream_.close();
 }
 
+void EndpointCall::OnLost() {
+  lost_ = true;
+  stream_.close();
+}
+
 asio::awaitable<CallStatus> EndpointCall::Open(Address endpoint,
                                                std::chrono::milliseconds timeout) {
   const SocketError error = co_await Connect(stream_, std::move(endpoint), timeout);
   if (cancelled_) co_return CallStatus::kCancelled;
-  co_return error ? CallStatus::kUnreachable : CallStatus::kOk;
+  if (error) co_return CallStatus::kUnreachable;
+  liveness_ = MakeRef<LivenessMonitor>(stream_.socket(), kPeerTimeout, [this] { OnLost(); });
+  liveness_->Start();
+  co_return CallStatus::kOk;
 }
 
 asio::awaitable<void> EndpointCall::Write(Ref<EndpointCall> self, Ref<const CallerRequest> request,
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bamboodock/command/router/answer_limits.h"
+#include "bamboodock/command/router/liveness_monitor.h"
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/routing/caller_request.h"
 #include "bamboodock/transport/async_socket.h"
@@ -65,11 +66,13 @@
 class EndpointCall : public RefCounted<EndpointCall> {
  public:
   EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits);
+  ~EndpointCall();
 
   /// Connects to the endpoint; returns `kUnreachable` on an error or timeout.
   asio::awaitable<CallStatus> Open(Address endpoint, std::chrono::milliseconds timeout);
   /// Starts sending the request and returns at once. The endpoint may answer before it has read the
-  /// whole body; the write has no timeout of its own and ends with the call.
+  /// whole body; the write has no timeout of its own and ends with the call. The connection is lost
+  /// when the endpoint acknowledges nothing for `kPeerTimeout`, not when it reads nothing.
   void Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added);
   /// Waits until `Read` or `ReadHead` would not block; returns `kSilent` on a timeout and keeps the
   /// connection open.
@@ -87,6 +90,7 @@
  private:
   using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  void OnLost();
   /// Records the error of a read and returns the status that it means.
   CallStatus OnReadError(const SocketError& error);
   /// Parses the bytes received and adds those of the body to `chunk`.
@@ -99,6 +103,7 @@
   AnswerLimits limits_;
   CallTrace trace_;
   beast::tcp_stream stream_;
+  Ref<LivenessMonitor> liveness_;
   /// Also holds the framing of a chunk, which an endpoint may extend without end.
   beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
@@ -107,6 +112,8 @@
   /// buffer, such as the line end of a chunk.
   bool needs_more_ = true;
   bool cancelled_ = false;
+  /// Whether the connection was closed since the endpoint acknowledges nothing.
+  bool lost_ = false;
   /// Whether the request method is HEAD, so that the answer has no body.
   bool head_only_ = false;
 };
--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -64,6 +64,8 @@
     stream_.close();
     result.error = co_await Connect(stream_, server_, kConnectTimeout);
     if (result.error) co_return result;
+    // Calls are short, and a server that does not read one for so long would answer too late.
+    FailWhenUnacknowledged(stream_.socket(), kPeerTimeout);
     open_ = true;
   }
   stream_.expires_after(timeout);
--- a/src/bamboodock/transport/async_socket.cc
+++ b/src/bamboodock/transport/async_socket.cc
@@ -16,14 +16,19 @@
 }  // namespace
 
 void ConfigureSocket(asio::ip::tcp::socket& socket, std::chrono::seconds peer_timeout) {
+  constexpr int kIdleSeconds = 1;
   const int descriptor = socket.native_handle();
-  const int seconds = static_cast<int>(peer_timeout.count());
+  const int probes = static_cast<int>(peer_timeout.count()) - kIdleSeconds;
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kIdleSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, seconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, seconds * 1000);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+void FailWhenUnacknowledged(asio::ip::tcp::socket& socket, std::chrono::seconds timeout) {
+  const std::chrono::milliseconds limit(timeout);
+  SetOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
 }
 
 asio::awaitable<SocketError> Connect(beast::tcp_stream& stream, Address address,
@@ -33,7 +38,7 @@
   co_await stream.async_connect(ToEndpoint(address), CaptureError(error));
   // The deadline is that of the connect alone: a write that sets none must not inherit it.
   stream.expires_never();
-  if (!error) ConfigureSocket(stream.socket(), std::chrono::seconds(2));
+  if (!error) ConfigureSocket(stream.socket(), kPeerTimeout);
   co_return error;
 }
 
--- a/test/fakes/planned_router.h
+++ b/test/fakes/planned_router.h
@@ -3,6 +3,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -77,8 +78,13 @@
     return ReadToEnd(socket);
   }
 
-  boost::asio::ip::tcp::socket Connect() {
-    boost::asio::ip::tcp::socket socket(loop_);
+  /// @param receive_buffer Size of the caller's receive buffer in bytes; the default of the system
+  /// when empty.
+  boost::asio::ip::tcp::socket Connect(std::optional<int> receive_buffer = std::nullopt) {
+    boost::asio::ip::tcp::socket socket(loop_, boost::asio::ip::tcp::v4());
+    if (receive_buffer) {
+      socket.set_option(boost::asio::socket_base::receive_buffer_size(*receive_buffer));
+    }
     socket.connect({boost::asio::ip::make_address("127.0.0.1"), network_.caller_port()});
     return socket;
   }
