Count the timeout of an answer's write from its last progress

Callers that read a long answer slowly lost the rest of it 10 s after its begin, though they read all the while. Cause: one deadline of 10 s was set for the write of the whole answer. Change: AnswerWriter::Send writes in steps and sets the deadline anew after each. Why it works: each step that the caller accepts starts the time again; a caller that accepts nothing is dropped as before.

--- a/src/bamboodock/command/router/answer_writer.cc
+++ b/src/bamboodock/command/router/answer_writer.cc
@@ -11,9 +11,6 @@
 
 namespace http = boost::beast::http;
 
-/// Time limit for one write, after which a caller that accepts no bytes is dropped.
-constexpr std::chrono::seconds kWriteTimeout{10};
-
 /// Value of Retry-After in seconds with three decimals; callers accept fractions.
 std::string RetryAfter(std::chrono::milliseconds wait) {
   return fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
@@ -30,9 +27,14 @@
   message.body() = std::move(body);
   const bool bodyless = head.status == 204 || head.status == 304;
   if (!bodyless && !head_only) message.content_length(message.body().size());
-  stream_.expires_after(kWriteTimeout);
+  http::response_serializer<http::string_body> serializer(message);
   SocketError error;
-  co_await http::async_write(stream_, message, CaptureError(error));
+  while (!serializer.is_done() && !error) {
+    // The timeout counts from the last bytes that the caller has accepted, so that one that reads a
+    // long answer slowly gets all of it.
+    stream_.expires_after(write_timeout_);
+    co_await http::async_write_some(stream_, serializer, CaptureError(error));
+  }
   co_return !error;
 }
 
@@ -56,7 +58,7 @@
   message.keep_alive(keep_alive_);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(write_timeout_);
   SocketError error;
   co_await http::async_write_header(stream_, serializer, CaptureError(error));
   begun_ = true;
@@ -64,7 +66,7 @@
 }
 
 asio::awaitable<bool> AnswerWriter::Write(std::string part) {
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(write_timeout_);
   SocketError error;
   const auto chunk = http::make_chunk(asio::buffer(part));
   co_await asio::async_write(stream_, chunk, CaptureError(error));
@@ -72,7 +74,7 @@
 }
 
 asio::awaitable<bool> AnswerWriter::End() {
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_after(write_timeout_);
   SocketError error;
   const auto last = http::make_chunk_last();
   co_await asio::async_write(stream_, last, CaptureError(error));
--- a/src/bamboodock/command/router/answer_writer.h
+++ b/src/bamboodock/command/router/answer_writer.h
@@ -9,11 +9,15 @@
 
 namespace bamboodock {
 
-/// Writes one HTTP answer to a caller. Used on the network duty's thread only; a write that takes
-/// longer than 10 s fails.
+/// Writes one HTTP answer to a caller. Used on the network duty's thread only.
 class AnswerWriter {
  public:
-  explicit AnswerWriter(beast::tcp_stream& stream) : stream_(stream) {}
+  /// How long a caller may accept no bytes before it is dropped.
+  static constexpr std::chrono::seconds kWriteTimeout{10};
+
+  explicit AnswerWriter(beast::tcp_stream& stream,
+                        std::chrono::milliseconds write_timeout = kWriteTimeout)
+      : stream_(stream), write_timeout_(write_timeout) {}
 
   /// Whether the connection stays open after this answer; set before the first write.
   void set_keep_alive(bool keep_alive) { keep_alive_ = keep_alive; }
@@ -35,6 +39,7 @@
 
  private:
   beast::tcp_stream& stream_;
+  std::chrono::milliseconds write_timeout_;
   bool keep_alive_ = true;
   bool begun_ = false;
 };
