Run a stream that may not be resumed once, whatever its confidence

Cause: an escalation is a repeat of a request that has run, but PlanLargerModel asked only for the number of attempts. All other repeats asked CanRetry() one by one, and the planning duty, which plans every attempt, asked nothing. Change: policy/repeat_rule.h holds the rule. The planning duty refuses under it each plan for a request that may have run and is not idempotent, whatever the reason; PlanLargerModel asks CanRetry() like the others, so that the answer in hand is delivered without a query. Why it works: no attempt is sent without a plan, and no plan is made against the rule. A stream that may be resumed still gets its larger model (NetworkDutyTest::LowConfidenceEscalatesToLargerModel).

--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "bamboodock/policy/repeat_rule.h"
 #include "bamboodock/routing/request_deadline.h"
 
 namespace bamboodock {
@@ -106,7 +107,7 @@
 }
 
 bool RequestExchange::CanRetry() const {
-  return progress_.route != nullptr && progress_.route->IsIdempotent() &&
+  return progress_.route != nullptr && IsAttemptAllowed(*progress_.route, PlanReason::kFailed) &&
          runs_ < progress_.route->max_attempts;
 }
 
@@ -490,9 +491,8 @@
 
 asio::awaitable<std::optional<AttemptPlan>> RequestExchange::PlanLargerModel(
     const AttemptPlan& plan, const AnswerHead& head) {
-  const Route& route = *progress_.route;
-  if (!request_->metadata.any_model || runs_ >= route.max_attempts) co_return std::nullopt;
-  const auto larger = services_.escalation.Next(route, plan.model, head.confidence);
+  if (!request_->metadata.any_model || !CanRetry()) co_return std::nullopt;
+  const auto larger = services_.escalation.Next(*progress_.route, plan.model, head.confidence);
   if (!larger) co_return std::nullopt;
   PlanAnswer answer = co_await RequestPlan(PlanReason::kNextModel, *larger, *head.confidence);
   std::optional<AttemptPlan> planned = std::move(answer.plan);
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -66,8 +66,8 @@
   asio::awaitable<CallStatus> AwaitBytes(Duration soft_timeout);
   /// Cancels the attempt and continues with the one in `planned_`.
   Action SwitchToPlanned(const AttemptPlan& plan, std::string_view detail);
-  /// Plan of an attempt with a larger model; empty when the confidence suffices or no such attempt
-  /// is possible.
+  /// Plan of an attempt with a larger model; empty when the confidence suffices or the request may
+  /// not run again.
   asio::awaitable<std::optional<AttemptPlan>> PlanLargerModel(const AttemptPlan& plan,
                                                               const AnswerHead& head);
   asio::awaitable<CallStatus> RelayEvents(const AttemptPlan& plan);
@@ -81,6 +81,7 @@
   void CancelCurrentStep();
   /// Whether no further attempt is to be made, whatever the one in progress returns.
   bool IsAbandoned() const { return caller_closed_ || stopping_; }
+  /// Whether a request that may have run may be sent again.
   bool CanRetry() const;
   bool IsLastAttempt() const;
   Duration TimeLeft() const;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bamboodock/policy/repeat_rule.h"
 #include "bamboodock/routing/request_deadline.h"
 
 namespace bamboodock {
@@ -132,6 +133,11 @@
   resolved.route = progress.route;
   resolved.table = progress.table;
   if (resolved.refusal.code != ResultCode::kOk) return resolved;
+  // Every attempt is planned here, so that no cause of a repeat can miss the rule.
+  if (!IsAttemptAllowed(*progress.route, query.reason)) {
+    return Refuse(query, ResultCode::kOutcomeUnknown,
+                  "the request may have run and is not idempotent", Duration::zero());
+  }
   if (query.reason == PlanReason::kNextModel && !ShouldEscalate(query, progress)) {
     return Refuse(query, ResultCode::kOverloaded,
                   "confidence of the smaller model suffices at this load and time left");
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -30,6 +30,9 @@
   RouteTableBuilder builder;
   builder.Version(ConfigVersion(version)).RequireKeys();
   builder.Add(MakeRoute("/a/", false)).Add(MakeRoute("/open/", true));
+  Route once = MakeRoute("/once/", false);
+  once.kind = RouteKind::kStream;
+  builder.Add(once);
   RoutedService service;
   service.id = kService;
   service.cold_time = seconds(3);
@@ -90,6 +93,7 @@
   CPPUNIT_TEST(RetriesAvoidTriedEndpoints);
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
   CPPUNIT_TEST(UnsentAttemptsDoNotUseTheRepeatBudget);
+  CPPUNIT_TEST(RequestThatMayHaveRunIsNotPlannedAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +104,23 @@
                                           RouterLimits(), *clock_, Random(1), *log_);
   }
 
+  // Guards against a second run of a request that is not idempotent, whatever asks for it.
+  void RequestThatMayHaveRunIsNotPlannedAgain() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1"), MakeEndpoint("e2")}, {}});
+    PlanQuery query = MakeQuery("/once/", "k1");
+    query.progress = state_->Plan(query).plan->progress;
+    query.progress.sent = 1;
+    for (const PlanReason reason :
+         {PlanReason::kFailed, PlanReason::kNextModel, PlanReason::kResume}) {
+      query.reason = reason;
+      CPPUNIT_ASSERT(!state_->Plan(query).plan);
+      CPPUNIT_ASSERT(state_->Plan(query).refusal.code == ResultCode::kOutcomeUnknown);
+    }
+    query.reason = PlanReason::kNotRun;
+    CPPUNIT_ASSERT(state_->Plan(query).plan.has_value());
+  }
+
   // Guards against a 404 or 401 from an entry that has no configuration yet.
   void RefusesBeforeFirstConfiguration() {
     CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNoConfiguration);
--- a/test/command/router/stream_relay_test.cc
+++ b/test/command/router/stream_relay_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(TricklingStreamIsResumedElsewhere);
   CPPUNIT_TEST(TricklingHeadIsRetriedElsewhere);
   CPPUNIT_TEST(SlowStreamIsNotCut);
+  CPPUNIT_TEST(NonResumableStreamRunsOnceWhateverItsConfidence);
   CPPUNIT_TEST(AbortTruncatesOpenStreams);
   CPPUNIT_TEST_SUITE_END();
 
@@ -173,6 +174,21 @@
     CPPUNIT_ASSERT(router.reasons.back() == PlanReason::kResume);
   }
 
+  // Guards against a request that may run once and runs again with a larger model.
+  void NonResumableStreamRunsOnceWhateverItsConfidence() {
+    ScriptedServer endpoint([](const auto&, std::size_t) {
+      return Answer{StreamHead(20) + Chunk(StreamEvent(1)) + "0\r\n\r\n", ConnectionAction::kClose};
+    });
+    Route route = MakeRoute(RouteKind::kStream, false);
+    route.models = {ModelId("small"), ModelId("large")};
+    PlannedRouter router(route);
+    router.Plan(endpoint.address());
+    router.Plan(endpoint.address());
+    const std::string answer = router.Exchange(PostRequest("X-Bamboodock-Model: *\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with(Chunk(StreamEvent(1)) + "0\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.requests().size());
+  }
+
   // Guards against a stream that is cut at the end of the grace time and looks complete.
   void AbortTruncatesOpenStreams() {
     ScriptedServer endpoint([](const auto&, std::size_t) {
