--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "bamboodock/command/router/attempt_text.h"
 #include "bamboodock/policy/repeat_rule.h"
 #include "bamboodock/routing/request_deadline.h"
 
@@ -36,23 +37,6 @@
                   std::chrono::milliseconds(1));
 }
 
-/// Milliseconds for a log line; -1 when there is no value.
-std::int64_t MillisOrNone(const std::optional<Duration>& time) {
-  if (!time) return -1;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(*time).count();
-}
-
-/// Text of an error for a log line; empty when there is none.
-std::string ErrorText(const SocketError& error) { return error ? error.message() : std::string(); }
-
-/// Fields of a log line about a transfer that had errors or is not complete; empty otherwise.
-std::string TransferText(const CallTrace& trace) {
-  if (trace.sent_whole && !trace.read_error) return {};
-  return fmt::format(" sent_bytes={} sent_whole={} write_error='{}' read_error='{}'",
-                     trace.sent.value(), trace.sent_whole, ErrorText(trace.write_error),
-                     ErrorText(trace.read_error));
-}
-
 AttemptOutcome OutcomeOf(CallStatus status) {
   switch (status) {
     case CallStatus::kUnreachable:
@@ -117,10 +101,10 @@
   const Duration took = services_.clock.Now() - request_->arrived;
   services_.log.Write(
       event, RequestId(request_->metadata.attempt.value()),
-      fmt::format(
-          "status={} runs={} not_run={} took_ms={} route={} model={} note='{}'", status, runs_,
-          not_run_, std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
-          progress_.route ? progress_.route->id.value() : "", progress_.model.value(), detail));
+      fmt::format("status={} runs={} not_run={} took_ms={} route={} model={} note='{}'", status,
+                  runs_, not_run_, ToMillis(took),
+                  progress_.route ? progress_.route->id.value() : "", progress_.model.value(),
+                  detail));
 }
 
 void RequestExchange::Report(const AttemptPlan& plan, AttemptOutcome outcome,
@@ -129,18 +113,10 @@
   const bool whole_stream = outcome == AttemptOutcome::kSuccess && IsStreamRoute() &&
                             !request_->metadata.last_event.has_value();
   if (whole_stream) report.stream_events = events_.taken();
-  const CallTrace trace = attempt_.sent ? call_->trace() : CallTrace{};
-  if (trace.write_error) ++services_.counters.request_writes_failed;
-  const RequestId id(request_->metadata.attempt.value());
-  services_.log.Write(
-      Event::kAttemptEnded, id,
-      fmt::format("endpoint={} outcome={} connect_ms={} head_ms={} events={} event_ms={} "
-                  "draining={} limit={} note='{}'{}",
-                  plan.endpoint.value(), Name(outcome), MillisOrNone(attempt_.connect_time),
-                  MillisOrNone(attempt_.head_latency), attempt_.events,
-                  MillisOrNone(report.event_interval), attempt_.draining,
-                  attempt_.rate_limit ? fmt::to_string(attempt_.rate_limit->value()) : "none",
-                  detail, attempt_.sent ? TransferText(trace) : std::string()));
+  const CallTrace* trace = attempt_.sent ? &call_->trace() : nullptr;
+  if (trace != nullptr && trace->write_error) ++services_.counters.request_writes_failed;
+  services_.log.Write(Event::kAttemptEnded, RequestId(request_->metadata.attempt.value()),
+                      AttemptText(attempt_, report, trace, detail));
   LogLostPrompt(plan);
   if (const auto fate = attempt_.Fate(outcome)) ReportPrompt(plan, *fate);
   Post(std::move(report));
