Keep the write of a request free of the deadlines of reads

Cause: found on reading the change. A read sets the deadline of both directions while no write is under way. The steps of the write follow each other without a gap, so none inherits it today, but nothing says so. Change: each step clears the deadline first. ConnectionLiveness::IsLost changes state and is named Observe.

--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -51,8 +51,8 @@
     : limits_(limits), stream_(executor), buffer_(limits.head.value() + kReadAhead) {}
 
 CallStatus EndpointCall::OnReadError(const SocketError& error) {
-  trace_.read_error = lost_ ? SocketError(asio::error::timed_out) : error;
   if (cancelled_) return CallStatus::kCancelled;
+  trace_.read_error = lost_ ? SocketError(asio::error::timed_out) : error;
   if (error == beast::error::timeout) return CallStatus::kSilent;
   if (IsLimitError(error)) return CallStatus::kTooLarge;
   if (IsInvalidHttp(error)) return CallStatus::kInvalid;
@@ -98,6 +98,8 @@
   http::request_serializer<http::span_body<const char>> serializer(message);
   CallTrace& trace = self->trace_;
   while (!serializer.is_done() && !trace.write_error) {
+    // A read sets the deadline of both directions while no write is under way.
+    self->stream_.expires_never();
     const std::size_t size =
         co_await http::async_write_some(self->stream_, serializer, CaptureError(trace.write_error));
     trace.sent += Bytes(size);
--- a/src/bamboodock/command/router/liveness_monitor.cc
+++ b/src/bamboodock/command/router/liveness_monitor.cc
@@ -46,7 +46,7 @@
 void LivenessMonitor::Check() {
   const std::optional<AckState> state = ReadAckState(socket_);
   if (!state) return;
-  if (liveness_.IsLost(*state)) {
+  if (liveness_.Observe(*state)) {
     on_lost_();
     return;
   }
--- a/src/bamboodock/policy/connection_liveness.h
+++ b/src/bamboodock/policy/connection_liveness.h
@@ -33,7 +33,7 @@
       : max_silent_checks_(static_cast<std::uint32_t>(timeout / kCheckInterval)) {}
 
   /// Takes the state at a check in; returns whether the other end is lost.
-  bool IsLost(const AckState& state) {
+  bool Observe(const AckState& state) {
     const bool awaits_ack =
         state.unanswered_repeats > 0 || state.unanswered_probes >= kUnansweredProbes;
     const bool silent = awaits_ack && state.since_ack >= kCheckInterval;
--- a/test/policy/connection_liveness_test.cc
+++ b/test/policy/connection_liveness_test.cc
@@ -22,8 +22,8 @@
   void EndThatAcknowledgesNothingIsLost() {
     for (const AckState& state : {AckState{1, 0, milliseconds(600)}, {0, 2, milliseconds(600)}}) {
       ConnectionLiveness liveness(kTimeout);
-      for (int check = 1; check < 4; ++check) CPPUNIT_ASSERT(!liveness.IsLost(state));
-      CPPUNIT_ASSERT(liveness.IsLost(state));
+      for (int check = 1; check < 4; ++check) CPPUNIT_ASSERT(!liveness.Observe(state));
+      CPPUNIT_ASSERT(liveness.Observe(state));
     }
   }
 
@@ -32,8 +32,8 @@
     ConnectionLiveness liveness(kTimeout);
     for (int check = 0; check < 100; ++check) {
       // Every other probe is on its way at the time of the check.
-      CPPUNIT_ASSERT(!liveness.IsLost({0, check % 2 == 0 ? 1U : 0U, milliseconds(6400)}));
-      CPPUNIT_ASSERT(!liveness.IsLost({3, 0, milliseconds(100)}));
+      CPPUNIT_ASSERT(!liveness.Observe({0, check % 2 == 0 ? 1U : 0U, milliseconds(6400)}));
+      CPPUNIT_ASSERT(!liveness.Observe({3, 0, milliseconds(100)}));
     }
   }
 
@@ -41,17 +41,17 @@
   void IdleEndIsNotLost() {
     ConnectionLiveness liveness(kTimeout);
     for (int check = 0; check < 100; ++check) {
-      CPPUNIT_ASSERT(!liveness.IsLost({0, 0, std::chrono::hours(1)}));
+      CPPUNIT_ASSERT(!liveness.Observe({0, 0, std::chrono::hours(1)}));
     }
   }
 
   // Guards against work that is given up since this process or host was paused for some seconds.
   void PauseOfTheProcessIsNoSilence() {
     ConnectionLiveness liveness(kTimeout);
-    CPPUNIT_ASSERT(!liveness.IsLost({1, 0, milliseconds(500)}));
-    CPPUNIT_ASSERT(!liveness.IsLost({1, 0, std::chrono::seconds(30)}));
-    CPPUNIT_ASSERT(!liveness.IsLost({0, 0, milliseconds(1)}));
-    CPPUNIT_ASSERT(!liveness.IsLost({1, 0, milliseconds(600)}));
+    CPPUNIT_ASSERT(!liveness.Observe({1, 0, milliseconds(500)}));
+    CPPUNIT_ASSERT(!liveness.Observe({1, 0, std::chrono::seconds(30)}));
+    CPPUNIT_ASSERT(!liveness.Observe({0, 0, milliseconds(1)}));
+    CPPUNIT_ASSERT(!liveness.Observe({1, 0, milliseconds(600)}));
   }
 
  private:
