Show that callers outside the limits exhaust the memory of a router

Cause: the router reads a body up to its limit on every connection, keeps the trailers of a chunked body without a bound and accepts 1800 connections whatever its host has. It does not know the memory and the descriptors of its host.

The single largest body and announced bodies over the limit are handled already.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -48,6 +48,8 @@
 DEFINE_uint32(max_answer_bytes, 4194304,
               "largest body of an endpoint's answer that is not a stream, in bytes");
 DEFINE_uint32(max_event_bytes, 262144, "largest event of an endpoint's stream in bytes");
+DEFINE_uint32(memory_mb, 1024, "memory of this host that the process may use, in MiB");
+DEFINE_uint32(max_descriptors, 8192, "descriptors that the process may have open");
 DEFINE_string(least_confidence, "60",
               "confidence (0 to 100) below which an answer of the smallest model is discarded; one "
               "for each route priority from 0 on, the last one for all further priorities");
@@ -168,6 +170,8 @@
   settings.answer_limits.head = Bytes(FLAGS_max_answer_head_bytes);
   settings.answer_limits.body = Bytes(FLAGS_max_answer_bytes);
   settings.answer_limits.event = Bytes(FLAGS_max_event_bytes);
+  settings.capacity.memory = Bytes(std::uint64_t{FLAGS_memory_mb} << 20U);
+  settings.capacity.descriptors = FLAGS_max_descriptors;
   settings.grace = Seconds(FLAGS_grace_s);
   return settings;
 }
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -120,10 +120,12 @@
                                                 .Handler(parts.metrics)
                                                 .Build());
   }
-  parts.log.Write(Event::kStarted, RequestId(),
-                  fmt::format("host={} zone={} callers={} store={}", settings.host.value(),
-                              settings.availability_zone.value(), settings.callers.ToString(),
-                              settings.store.ToString()));
+  parts.log.Write(
+      Event::kStarted, RequestId(),
+      fmt::format("host={} zone={} callers={} store={} memory_mb={} descriptors={}",
+                  settings.host.value(), settings.availability_zone.value(),
+                  settings.callers.ToString(), settings.store.ToString(),
+                  settings.capacity.memory.value() >> 20U, settings.capacity.descriptors));
   parts.planning.Start();
   parts.network.Start();
   parts.peers.Start();
--- a/src/bamboodock/command/router/router_process.h
+++ b/src/bamboodock/command/router/router_process.h
@@ -14,6 +14,12 @@
 
 namespace bamboodock {
 
+/// What the host grants to the process.
+struct HostCapacity {
+  Bytes memory{std::uint64_t{1024} << 20U};
+  std::uint32_t descriptors = 8192;
+};
+
 /// Settings of a router.
 struct RouterSettings {
   HostId host;
@@ -27,6 +33,7 @@
   Address store;
   RouterLimits limits;
   AnswerLimits answer_limits;
+  HostCapacity capacity;
   /// Time limit of `Stop`.
   Duration grace = std::chrono::seconds(8);
 };
--- a/test/process/support/child_process.cc
+++ b/test/process/support/child_process.cc
@@ -9,7 +9,9 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 namespace bamboodock::process_test {
@@ -83,6 +85,30 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool ChildProcess::IsRunning() const {
+  siginfo_t state{};
+  // WNOWAIT leaves the exit status for `Kill` and `Wait`.
+  const int error = waitid(P_PID, static_cast<id_t>(pid_), &state, WEXITED | WNOHANG | WNOWAIT);
+  return error == 0 && state.si_pid == 0;
+}
+
+Bytes ChildProcess::PeakMemory() const {
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::uint64_t kUnit = 1024;
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) return Bytes(std::stoull(line.substr(kField.size())) * kUnit);
+  }
+  return Bytes(0);
+}
+
+std::size_t ChildProcess::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(pid_) + "/fd",
+                                                        error);
+  return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 std::string ChildProcess::ThreadStates() const {
   std::string text;
   std::error_code error;
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -39,6 +39,12 @@
   /// a timeout.
   std::optional<int> Wait(Duration timeout);
 
+  /// Whether the process has not ended.
+  bool IsRunning() const;
+  /// Largest resident memory so far; 0 when the process has ended.
+  Bytes PeakMemory() const;
+  /// Number of open descriptors; 0 when the process has ended.
+  std::size_t OpenDescriptors() const;
   /// One line per thread with its id, state and the kernel function that it waits in. States that a
   /// process has ended when it has none.
   std::string ThreadStates() const;
