--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -113,6 +113,66 @@
   return report;
 }
 
+/// Slowdowns are sent in percent.
+constexpr double kPercent = 100;
+/// Limits of what is accepted from other hosts.
+constexpr double kMaxSlowdown = 1000;
+constexpr double kMaxAnswers = 1e9;
+/// Stands for an absent model.
+constexpr std::int64_t kNoModel = -1;
+
+Json EncodeSlowdowns(const std::vector<EndpointSlowdown>& slowdowns) {
+  Json list = Json::array();
+  for (const EndpointSlowdown& entry : slowdowns) {
+    const auto percent = static_cast<std::uint32_t>(std::lround(entry.slowdown.value() * kPercent));
+    list.push_back(Json::array({entry.endpoint.value(), percent}));
+  }
+  return list;
+}
+
+EndpointSlowdown DecodeSlowdown(const Json& json) {
+  const double slowdown = json.at(1).get<std::uint32_t>() / kPercent;
+  return {EndpointId(json.at(0).get<std::string>()), Slowdown(std::min(slowdown, kMaxSlowdown))};
+}
+
+Json EncodeAcceptance(const std::vector<ModelAcceptance>& acceptance) {
+  Json list = Json::array();
+  for (const ModelAcceptance& entry : acceptance) {
+    const std::int64_t previous = entry.previous ? std::int64_t{*entry.previous} : kNoModel;
+    list.push_back(
+        Json::array({entry.route.value(), entry.model, previous, static_cast<float>(entry.accepted),
+                     static_cast<float>(entry.judged)}));
+  }
+  return list;
+}
+
+/// Empty when the counts cannot be those of any entry.
+std::optional<ModelAcceptance> DecodeAcceptance(const Json& json) {
+  ModelAcceptance entry;
+  entry.route = RouteHash(json.at(0).get<std::uint32_t>());
+  entry.model = json.at(1).get<std::uint32_t>();
+  const auto previous = json.at(2).get<std::int64_t>();
+  if (previous >= 0) entry.previous = static_cast<std::uint32_t>(previous);
+  entry.accepted = json.at(3).get<double>();
+  entry.judged = json.at(4).get<double>();
+  const bool valid =
+      entry.accepted >= 0 && entry.accepted <= entry.judged && entry.judged <= kMaxAnswers;
+  return valid ? std::optional(entry) : std::nullopt;
+}
+
+/// Reads the fields that entries of earlier releases do not send.
+void DecodeLaterFields(const Json& message, PeerReport& report) {
+  constexpr std::size_t kSlowdownField = 5;
+  constexpr std::size_t kAcceptanceField = 6;
+  if (message.size() <= kAcceptanceField) return;
+  for (const Json& json : message.at(kSlowdownField)) {
+    report.slowdowns.push_back(DecodeSlowdown(json));
+  }
+  for (const Json& json : message.at(kAcceptanceField)) {
+    if (const auto entry = DecodeAcceptance(json)) report.acceptance.push_back(*entry);
+  }
+}
+
 PeerReport DecodeReport(const Json& message) {
   PeerReport report;
   report.host = HostId(message.at(0).get<std::string>());
@@ -125,6 +185,7 @@
   if (message.size() <= 4) return report;
   report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
   report.orders.until = DecodeStoreTime(message.at(4).at(1));
+  DecodeLaterFields(message, report);
   return report;
 }
 
@@ -139,8 +200,13 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  const Json message{report.host.value(), report.incarnation.value(), rollouts, pending,
-                     Json::array({report.orders.digest, report.orders.until.count()})};
+  const Json message{report.host.value(),
+                     report.incarnation.value(),
+                     rollouts,
+                     pending,
+                     Json::array({report.orders.digest, report.orders.until.count()}),
+                     EncodeSlowdowns(report.slowdowns),
+                     EncodeAcceptance(report.acceptance)};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
--- a/src/bamboodock/routing/answer_head.h
+++ b/src/bamboodock/routing/answer_head.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "bamboodock/core/ids.h"
+#include "bamboodock/core/slowdown.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/transport/http_types.h"
 
@@ -15,6 +16,8 @@
   Concurrency running;
   Concurrency waiting;
   Concurrency slots;
+  /// How long work takes at the endpoint at this moment; empty when it does not say.
+  std::optional<Slowdown> slowdown = std::nullopt;
 };
 
 /// Decoded status and headers of an endpoint's answer.
@@ -37,6 +40,8 @@
   /// Confidence that the model reports for its answer, 0 to 100.
   std::optional<std::uint32_t> confidence;
   std::optional<ReportedLoad> load;
+  /// Whether the answer has a load report that cannot be read.
+  bool unreadable_load = false;
   /// Whether the endpoint states that it drains.
   bool draining = false;
   /// Requests that the endpoint takes from all entries together, if it limits them.
--- a/src/bamboodock/routing/caller_request.h
+++ b/src/bamboodock/routing/caller_request.h
@@ -31,6 +31,8 @@
   bool any_model = false;
   Tokens prompt_tokens;
   Tokens max_output_tokens;
+  /// Output tokens that the caller expects, often far off; empty when it does not say.
+  std::optional<Tokens> expected_output_tokens;
   std::vector<PromptPart> prompt_parts;
   /// Event after which the caller resumes a stream; empty for a whole stream.
   std::optional<std::uint64_t> last_event;
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -8,6 +8,7 @@
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/quantity.h"
+#include "bamboodock/core/slowdown.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/evidence_counters.h"
 #include "bamboodock/policy/prompt_evidence.h"
@@ -40,6 +41,27 @@
   Tokens work;
 };
 
+/// Long-run slowdown of one endpoint, as observed by an entry.
+struct EndpointSlowdown {
+  EndpointId endpoint;
+  Slowdown slowdown;
+};
+
+/// Short hash of a route id.
+using RouteHash = Quantity<struct RouteHashTag, std::uint32_t>;
+
+/// How many answers of one model of a route had sufficient confidence, as observed by an entry.
+struct ModelAcceptance {
+  /// The counts decay, so they are not whole numbers.
+  double accepted = 0;
+  double judged = 0;
+  RouteHash route;
+  /// Position of the model among those of the route, smallest first.
+  std::uint32_t model = 0;
+  /// Position of the model whose answer did not suffice before; empty for a first answer.
+  std::optional<std::uint32_t> previous;
+};
+
 /// State of the operator's table at one time, as read by an entry. Invalid while `until` is zero.
 ///
 /// An entry with the same rows learns from it that they are still current, without reading the
@@ -58,6 +80,8 @@
   std::vector<RolloutEvidence> rollouts;
   std::vector<PendingWork> pending;
   OperatorTableState orders;
+  std::vector<EndpointSlowdown> slowdowns = {};
+  std::vector<ModelAcceptance> acceptance = {};
 };
 
 /// Evidence about prompt parts that crash endpoints, as known to an entry. Sent when there is any.
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -19,6 +19,8 @@
 class PeerCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerCodecTest);
   CPPUNIT_TEST(RoundTripKeepsEveryField);
+  CPPUNIT_TEST(SlowdownsAndAcceptanceAreKept);
+  CPPUNIT_TEST(ImpossibleAcceptanceIsDropped);
   CPPUNIT_TEST(PromptEvidenceKeepsItsAge);
   CPPUNIT_TEST(RateLimitsKeepTheirTimes);
   CPPUNIT_TEST(InvalidRateLimitsAreRejected);
@@ -58,6 +60,34 @@
     CPPUNIT_ASSERT(decoded->orders.until == report.orders.until);
   }
 
+  // Guards against what entries learn being lost on the way to the others.
+  void SlowdownsAndAcceptanceAreKept() {
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}, {}};
+    report.slowdowns.push_back({EndpointId("e1"), Slowdown(1.62)});
+    report.acceptance.push_back({3.5, 8.25, RouteHash(4000000000), 2, 0});
+    report.acceptance.push_back({1, 2, RouteHash(1), 0, std::nullopt});
+    const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
+    CPPUNIT_ASSERT(message);
+    const auto& decoded = std::get<PeerReport>(*message);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.slowdowns.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.62, decoded.slowdowns[0].slowdown.value(), 0.001);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.acceptance.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(8.25, decoded.acceptance[0].judged, 0.001);
+    CPPUNIT_ASSERT(decoded.acceptance[0].route == RouteHash(4000000000));
+    CPPUNIT_ASSERT(decoded.acceptance[0].previous == 0U);
+    CPPUNIT_ASSERT(!decoded.acceptance[1].previous);
+  }
+
+  // Guards against estimates that one faulty datagram spoils.
+  void ImpossibleAcceptanceIsDropped() {
+    PeerReport report{HostId("h1"), IncarnationId("i1"), {}, {}, {}};
+    report.acceptance.push_back({3, 2, RouteHash(1), 0, std::nullopt});
+    report.acceptance.push_back({std::nan(""), 2, RouteHash(1), 0, std::nullopt});
+    const auto message = DecodePeerMessage(EncodePeerReport(report), kNow);
+    CPPUNIT_ASSERT(message);
+    CPPUNIT_ASSERT(std::get<PeerReport>(*message).acceptance.empty());
+  }
+
   // Guards against crashes that seem older or newer at another entry, and against a full report
   // that does not fit into a datagram.
   void PromptEvidenceKeepsItsAge() {
