--- a/test/platform/http_wire_protocol_test.cc
+++ b/test/platform/http_wire_protocol_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(ConnectionOptionsAreDropped);
   CPPUNIT_TEST(MetadataIsDecoded);
   CPPUNIT_TEST(MalformedHeadersAreRejected);
+  CPPUNIT_TEST(MalformedLengthHintIsIgnored);
   CPPUNIT_TEST(AttemptNamesEndpointAndAccount);
   CPPUNIT_TEST(AnswerToAnotherRequestIsDetected);
   CPPUNIT_TEST(NotExecutedAndWrongEndpointAreDetected);
@@ -56,6 +57,7 @@
                                         {"X-Bamboodock-Time-Left-Ms", "1500"},
                                         {"X-Bamboodock-Model", "*"},
                                         {"X-Bamboodock-Token-Counts", "1460,80"},
+                                        {"X-Bamboodock-Length-Hint", "64"},
                                         {"X-Bamboodock-Prompt-Prefix", "5c1e:800,91bd:410"},
                                         {"Last-Event-Id", "12"}});
     const RequestMetadata& metadata = request.metadata;
@@ -63,6 +65,7 @@
     CPPUNIT_ASSERT(metadata.any_model && metadata.model.empty());
     CPPUNIT_ASSERT(metadata.prompt_tokens == Tokens(1460) &&
                    metadata.max_output_tokens == Tokens(80));
+    CPPUNIT_ASSERT(metadata.expected_output_tokens == Tokens(64));
     CPPUNIT_ASSERT(metadata.prompt_parts.size() == 2);
     CPPUNIT_ASSERT(metadata.prompt_parts[1].tokens == Tokens(410));
     CPPUNIT_ASSERT(metadata.last_event == 12U);
@@ -82,6 +85,15 @@
     CPPUNIT_ASSERT(!IsAccepted({{"X-Bamboodock-Attempt-Id", "a"}, {"Last-Event-Id", "12x"}}));
   }
 
+  // Guards against a request that is refused because of a hint that serving it does not need.
+  void MalformedLengthHintIsIgnored() {
+    for (const char* hint : {"", "0", "-5", "12x", "1e3", "99999999999999999999"}) {
+      const CallerRequest request =
+          Read({{"X-Bamboodock-Attempt-Id", "a1"}, {"X-Bamboodock-Length-Hint", hint}});
+      CPPUNIT_ASSERT(!request.metadata.expected_output_tokens);
+    }
+  }
+
   // Guards against an attempt without its endpoint, account or remaining time in milliseconds.
   void AttemptNamesEndpointAndAccount() {
     const CallerRequest request = Read({{"X-Bamboodock-Attempt-Id", "a1"}});
