Choose among all models of a route by price, acceptance and time

Cause: only the smallest and the largest model were used, and the largest one was asked while nothing was known of its time. A long answer of it takes 11 to 20 s on a slow endpoint, so requests with a deadline of 20 s were lost that the smallest model would have answered, above all in the first second. Change: ModelChoice replaces ModelEscalation. The next model is the one with the least expected price until an answer suffices, among those that can end before the deadline. StreamPace learns from streams under way, uses the caller's hint, and estimates a model without observations from a smaller one and the ratio of their prices. A repeat keeps its model only while that can end in time, and a request refused by an endpoint does not return to a model whose answer did not suffice. Answers and their confidences are counted by position of the model.

--- a/apps/router.cc
+++ b/apps/router.cc
@@ -50,9 +50,10 @@
 DEFINE_uint32(max_event_bytes, 262144, "largest event of an endpoint's stream in bytes");
 DEFINE_uint32(memory_mb, 1024, "memory of this host that the process may use, in MiB");
 DEFINE_uint32(max_descriptors, 8192, "descriptors that the process may have open");
-DEFINE_string(least_confidence, "60",
-              "confidence (0 to 100) below which an answer of the smallest model is discarded; one "
-              "for each route priority from 0 on, the last one for all further priorities");
+DEFINE_string(
+    least_confidence, "60",
+    "confidence (0 to 100) below which an answer is discarded for that of a larger model; one "
+    "for each route priority from 0 on, the last one for all further priorities");
 DEFINE_bool(metrics, true, "serve metrics on the internal port after the first");
 DEFINE_string(log_level, "info", "debug, info, warn or error");
 DEFINE_bool(check, false, "check the settings and exit");
--- a/src/bamboodock/command/router/attempt_record.cc
+++ b/src/bamboodock/command/router/attempt_record.cc
@@ -15,6 +15,7 @@
   report.event_interval = event_interval.Interval();
   report.early_event_interval = early_event_interval;
   report.max_output_tokens = request.max_output_tokens;
+  report.expected_output_tokens = request.expected_output_tokens;
   report.sent = sent;
   report.repeat = plan.repeat;
   report.work = plan.work;
--- a/src/bamboodock/command/router/attempt_record.h
+++ b/src/bamboodock/command/router/attempt_record.h
@@ -29,6 +29,8 @@
   MeanEventInterval event_interval;
   /// The interval when the answer came under way.
   std::optional<Duration> early_event_interval;
+  /// Confidence that the model reports for its answer, 0 to 100.
+  std::optional<std::uint32_t> confidence;
   /// Whether the answer states that its endpoint drains.
   bool draining = false;
   /// Rate limit that the answer names.
--- a/src/bamboodock/command/router/network_services.h
+++ b/src/bamboodock/command/router/network_services.h
@@ -7,7 +7,7 @@
 #include "bamboodock/command/router/router_counters.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
-#include "bamboodock/policy/model_escalation.h"
+#include "bamboodock/policy/model_choice.h"
 #include "bamboodock/query/router/router_status.h"
 #include "bamboodock/routing/wire_protocol.h"
 
@@ -19,7 +19,7 @@
   const Clock& clock;
   EventLog& log;
   RouterCounters& counters;
-  ModelEscalation escalation;
+  ModelChoice models;
   AnswerLimits answer_limits;
   /// Posts a command to the planning duty; false when its ring is full.
   std::function<bool(RouteCommand)> post;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -44,6 +44,7 @@
   void On(UnderWayReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
   void On(PromptReport& report) { state_.Apply(report); }
+  void On(ConfidenceReport& report) { state_.Apply(report); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
   void On(RateLimitReport& report) { state_.Apply(report); }
   void PublishStatus();
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -99,12 +99,15 @@
 
 void RequestExchange::LogEnd(Event event, int status, std::string_view detail) {
   const Duration took = services_.clock.Now() - request_->arrived;
+  const std::string confidence =
+      attempt_.confidence ? fmt::to_string(*attempt_.confidence) : "none";
   services_.log.Write(
       event, RequestId(request_->metadata.attempt.value()),
-      fmt::format("status={} runs={} not_run={} took_ms={} route={} model={} note='{}'", status,
-                  runs_, not_run_, ToMillis(took),
-                  progress_.route ? progress_.route->id.value() : "", progress_.model.value(),
-                  detail));
+      fmt::format(
+          "status={} runs={} not_run={} took_ms={} route={} model={} confidence={} note='{}'",
+          status, runs_, not_run_, ToMillis(took),
+          progress_.route ? progress_.route->id.value() : "", progress_.model.value(), confidence,
+          detail));
 }
 
 void RequestExchange::Report(const AttemptPlan& plan, AttemptOutcome outcome,
@@ -221,6 +224,17 @@
   }
 }
 
+void RequestExchange::CountAnswer(const AttemptPlan& plan) {
+  ++services_.counters.answered;
+  const std::vector<ModelId>& models = progress_.route->models;
+  const auto found = std::find(models.begin(), models.end(), plan.model);
+  if (found == models.end() || !attempt_.confidence) return;
+  const auto position = static_cast<std::size_t>(found - models.begin());
+  const std::size_t series = std::min(position, RouterCounters::kModelPositions - 1);
+  ++services_.counters.answers_by_model.at(series);
+  services_.counters.confidence_sum.at(series) += *attempt_.confidence;
+}
+
 void RequestExchange::CountOverLimit(CallStatus status) {
   if (status == CallStatus::kTooLarge) ++services_.counters.answers_over_limit;
 }
@@ -375,6 +389,7 @@
   AnswerHead head =
       services_.protocol.DecodeAnswer(received.code, received.headers, request_->metadata.attempt);
   attempt_.head_latency = services_.clock.Now() - attempt_.started;
+  attempt_.confidence = head.confidence;
   // Another endpoint speaks for itself, not for the one that was planned.
   attempt_.draining = head.draining && !head.wrong_endpoint;
   if (!head.wrong_endpoint) attempt_.rate_limit = head.rate_limit;
@@ -457,7 +472,7 @@
   attempt_.framed_end = call_->HasFraming();
   Report(plan, AttemptOutcome::kSuccess, fmt::format("status {}", head.status));
   if (caller_closed_) co_return Action::Retry(PlanReason::kFailed);
-  ++services_.counters.answered;
+  CountAnswer(plan);
   services_.counters.RecordLatency(services_.clock.Now() - request_->arrived);
   LogEnd(Event::kRequestAnswered, head.status, "");
   const bool head_only = request_->method == "HEAD";
@@ -466,11 +481,14 @@
 }
 
 asio::awaitable<std::optional<AttemptPlan>> RequestExchange::PlanLargerModel(
-    const AttemptPlan& plan, const AnswerHead& head) {
-  if (!request_->metadata.any_model || !CanRetry()) co_return std::nullopt;
-  const auto larger = services_.escalation.Next(*progress_.route, plan.model, head.confidence);
-  if (!larger) co_return std::nullopt;
-  PlanAnswer answer = co_await RequestPlan(PlanReason::kNextModel, *larger, *head.confidence);
+    const AttemptPlan& plan) {
+  if (!request_->metadata.any_model || !attempt_.confidence) co_return std::nullopt;
+  Post(ConfidenceReport{progress_, plan.model, *attempt_.confidence});
+  if (!CanRetry() ||
+      !services_.models.WantsLarger(*progress_.route, plan.model, attempt_.confidence)) {
+    co_return std::nullopt;
+  }
+  PlanAnswer answer = co_await RequestPlan(PlanReason::kNextModel, ModelId(), *attempt_.confidence);
   std::optional<AttemptPlan> planned = std::move(answer.plan);
   co_return planned;
 }
@@ -478,12 +496,12 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::RelayStream(const AttemptPlan& plan,
                                                                       AnswerHead head) {
   if (!writer_.begun()) {
-    std::optional<AttemptPlan> larger = co_await PlanLargerModel(plan, head);
+    std::optional<AttemptPlan> larger = co_await PlanLargerModel(plan);
     if (larger) {
       call_->Cancel();
       Report(plan, AttemptOutcome::kCancelled,
              fmt::format("confidence {} below the threshold, trying a larger model",
-                         *head.confidence));
+                         *attempt_.confidence));
       co_return Action::UsePlan(std::move(*larger));
     }
     services_.counters.RecordLatency(services_.clock.Now() - request_->arrived);
@@ -535,7 +553,7 @@
   if (status == CallStatus::kEnd) {
     attempt_.framed_end = call_->HasFraming();
     Report(plan, AttemptOutcome::kSuccess, "stream complete");
-    ++services_.counters.answered;
+    CountAnswer(plan);
     LogEnd(Event::kRequestAnswered, 200, "stream complete");
     const bool sent = co_await writer_.End();
     co_return Action::Finished(sent && writer_.keep_alive());
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -66,10 +66,10 @@
   asio::awaitable<CallStatus> AwaitBytes(Duration soft_timeout);
   /// Cancels the attempt and continues with the one in `planned_`.
   Action SwitchToPlanned(const AttemptPlan& plan, std::string_view detail);
-  /// Plan of an attempt with a larger model; empty when the confidence suffices or the request may
-  /// not run again.
-  asio::awaitable<std::optional<AttemptPlan>> PlanLargerModel(const AttemptPlan& plan,
-                                                              const AnswerHead& head);
+  /// Reports the confidence of the answer, and returns the plan of an attempt with a larger model;
+  /// empty when the confidence suffices, no larger model can end in time or the request may not run
+  /// again.
+  asio::awaitable<std::optional<AttemptPlan>> PlanLargerModel(const AttemptPlan& plan);
   asio::awaitable<CallStatus> RelayEvents(const AttemptPlan& plan);
   asio::awaitable<Action> EndStream(const AttemptPlan& plan, CallStatus status);
   /// Reads the rest of the body into memory, up to its size limit.
@@ -87,6 +87,8 @@
   Duration TimeLeft() const;
   bool IsStreamRoute() const;
   void SetDeadline(const Route& route);
+  /// Counts a complete answer by the position of its model.
+  void CountAnswer(const AttemptPlan& plan);
   /// Counts an answer that was given up because of its size.
   void CountOverLimit(CallStatus status);
   /// Reports an attempt that was planned and will not be sent.
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -24,7 +24,8 @@
   PlanReason reason = PlanReason::kFirst;
   /// Empty for the first attempt.
   RequestProgress progress;
-  /// Model of the next attempt; empty when the planning duty chooses.
+  /// Model of a failed attempt, which the next one keeps if it can still end in time; empty when
+  /// the planning duty chooses.
   ModelId model;
   /// Confidence (0 to 100) of the answer that the next model would replace.
   std::uint32_t confidence = 0;
@@ -81,8 +82,17 @@
   PromptFate fate = PromptFate::kUnderWay;
 };
 
-using RouteCommand =
-    std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport, PromptReport, OperatorDelta,
-                 EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
+/// Reports the confidence of an answer on a route whose model the router selects.
+struct ConfidenceReport {
+  /// Routing of the request; `insufficient` is the model before.
+  RequestProgress progress;
+  ModelId model;
+  /// 0 to 100.
+  std::uint32_t confidence = 0;
+};
+
+using RouteCommand = std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport,
+                                  PromptReport, ConfidenceReport, OperatorDelta, EndpointDelta,
+                                  RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -37,6 +37,10 @@
 /// later than its registrations.
 constexpr std::chrono::milliseconds kVersionWithoutOrderDelay{4000};
 
+/// Share of the requests for which a model is asked although its assumed time is too long. Without
+/// them a model that has become faster would never be observed again.
+constexpr Ratio kProbeShare{1.0 / 32};
+
 std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
 /// Hash of a text as a number in [0, 1); equal on all entries.
@@ -64,6 +68,24 @@
   return shared;
 }
 
+RouteHash HashRoute(const RouteId& route) {
+  return RouteHash(static_cast<std::uint32_t>(Hash(route.value())));
+}
+
+/// Position of the model among those of the route; empty when it is not one of them.
+std::optional<std::size_t> PositionOf(const Route& route, const ModelId& model) {
+  const auto found = std::find(route.models.begin(), route.models.end(), model);
+  if (found == route.models.end()) return std::nullopt;
+  return static_cast<std::size_t>(found - route.models.begin());
+}
+
+/// Zero when the service states none.
+double PriceOf(const RoutedService& service, const ModelId& model) {
+  const auto found = std::find_if(service.models.begin(), service.models.end(),
+                                  [&](const auto& priced) { return priced.id == model; });
+  return found == service.models.end() ? 0 : found->price;
+}
+
 Duration RetryAfter(ResultCode code) {
   switch (code) {
     case ResultCode::kNoConfiguration:
@@ -94,7 +116,7 @@
       rollouts_(limits.exposure, log),
       sessions_(limits.session_timeout),
       peers_(identity_.host),
-      escalation_(limits.least_confidence),
+      models_(limits.least_confidence),
       prompts_(identity_.host, log) {}
 
 Duration RouteState::ConfigAge() const { return clock_.Now() - config_covered_until_; }
@@ -138,7 +160,8 @@
     return Refuse(query, ResultCode::kOutcomeUnknown,
                   "the request may have run and is not idempotent", Duration::zero());
   }
-  if (query.reason == PlanReason::kNextModel && !ShouldEscalate(query, progress)) {
+  const std::optional<ModelId> model = ChooseModel(query, progress);
+  if (!model) {
     return Refuse(query, ResultCode::kOverloaded,
                   "confidence of the smaller model suffices at this load and time left");
   }
@@ -149,7 +172,7 @@
     refused.table = progress.table;
     return refused;
   }
-  return ChooseAttempt(query, std::move(progress));
+  return ChooseAttempt(query, *model, std::move(progress));
 }
 
 PlanAnswer RouteState::ResolveRequest(const PlanQuery& query, RequestProgress& progress) const {
@@ -199,14 +222,62 @@
 bool RouteState::ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) {
   const MonotonicTime now = clock_.Now();
   const ServiceId& service = progress.service->id;
-  const Tokens output = query.request->metadata.max_output_tokens;
   EscalationConditions conditions;
   conditions.pending_tokens = pool_.MeanPending(service, now);
   conditions.budget_used = BudgetOf(service).UsedPart(now, peers_.EntryCount());
-  conditions.expected =
-      pace_.Expected(progress.route->id, query.model, output).value_or(Duration::zero());
-  conditions.left = RequestDeadline(*query.request, progress.route) - now;
-  return query.confidence < escalation_.LeastConfidence(*progress.route, conditions);
+  return query.confidence < models_.LeastConfidence(*progress.route, conditions);
+}
+
+std::vector<ModelCandidate> RouteState::Candidates(const PlanQuery& query,
+                                                   const RequestProgress& progress) {
+  const MonotonicTime now = clock_.Now();
+  const RequestMetadata& metadata = query.request->metadata;
+  const Duration left = RequestDeadline(*query.request, progress.route) - now;
+  AnswerToExpect answer{progress.route->id,
+                        {},
+                        metadata.max_output_tokens,
+                        metadata.expected_output_tokens,
+                        progress.route->interval_objective};
+  answer.models.reserve(progress.route->models.size());
+  for (const ModelId& model : progress.route->models) {
+    answer.models.push_back({model, PriceOf(*progress.service, model)});
+  }
+  const bool probes = random_.Uniform() < kProbeShare.value();
+  std::vector<ModelCandidate> candidates;
+  candidates.reserve(answer.models.size());
+  for (std::size_t i = 0; i < answer.models.size(); ++i) {
+    const auto expected = pace_.Expected(answer, i, now);
+    const bool in_time = !expected || ModelChoice::IsInTime(expected->time, left);
+    candidates.push_back({answer.models[i].price, in_time || (probes && expected->assumed)});
+  }
+  return candidates;
+}
+
+std::optional<ModelId> RouteState::ChooseModel(const PlanQuery& query,
+                                               const RequestProgress& progress) {
+  if (!query.request->metadata.any_model) return query.request->metadata.model;
+  const Route& route = *progress.route;
+  if (route.models.empty()) return ModelId();
+  // A stream that has begun goes on with its model.
+  if (query.reason == PlanReason::kResume && !query.model.empty()) return query.model;
+  const bool escalates = query.reason == PlanReason::kNextModel;
+  if (escalates && !ShouldEscalate(query, progress)) return std::nullopt;
+  const bool single_run =
+      route.max_attempts < 2 || !IsAttemptAllowed(route, PlanReason::kNextModel);
+  if (single_run) return route.models.front();
+
+  const std::vector<ModelCandidate> candidates = Candidates(query, progress);
+  if (const auto failed = PositionOf(route, query.model); failed && candidates[*failed].in_time) {
+    return query.model;
+  }
+  ModelChoice::Situation situation;
+  situation.route = HashRoute(route.id);
+  situation.previous = PositionOf(route, escalates ? progress.model : progress.insufficient);
+  situation.attempts_left = route.max_attempts - std::min(route.max_attempts, progress.sent);
+  const auto next = ModelChoice::Next(candidates, situation, acceptances_, clock_.Now());
+  if (next) return route.models[*next];
+  if (escalates) return std::nullopt;
+  return route.models.front();
 }
 
 RepeatBudget& RouteState::BudgetOf(const ServiceId& service) {
@@ -286,14 +357,11 @@
       fmt::format("no usable endpoint, service={} tried={}", service, progress.tried.size()));
 }
 
-PlanAnswer RouteState::ChooseAttempt(const PlanQuery& query, RequestProgress progress) {
+PlanAnswer RouteState::ChooseAttempt(const PlanQuery& query, const ModelId& model,
+                                     RequestProgress progress) {
   const MonotonicTime now = clock_.Now();
   const CallerRequest& request = *query.request;
   RepeatBudget& budget = BudgetOf(progress.service->id);
-  ModelId model = request.metadata.model;
-  if (request.metadata.any_model) {
-    model = query.model.empty() ? ModelEscalation::First(progress.route->models) : query.model;
-  }
   const Tokens work = EstimateWork(request, *progress.service, model);
   const VersionChoice choice = ChooseVersion(query, progress);
   EndpointRequirements requirements;
@@ -348,6 +416,7 @@
   plan.valid_until =
       requires_key ? config_covered_until_ + limits_.max_config_age : MonotonicTime::max();
   progress.tried.push_back(plan.endpoint);
+  if (query.reason == PlanReason::kNextModel) progress.insufficient = progress.model;
   progress.model = plan.model;
   progress.version = version;
   plan.progress = std::move(progress);
@@ -389,6 +458,15 @@
 
 void RouteState::Apply(const UnderWayReport& report) {
   rollouts_.OnUnderWay(report.attempt, pool_.Judge(report.attempt));
+  pace_.Learn(report.attempt, clock_.Now());
+}
+
+void RouteState::Apply(const ConfidenceReport& report) {
+  const Route& route = *report.progress.route;
+  const auto model = PositionOf(route, report.model);
+  if (!model) return;
+  acceptances_.Add(HashRoute(route.id), *model, PositionOf(route, report.progress.insufficient),
+                   models_.Suffices(route, report.confidence), clock_.Now());
 }
 
 void RouteState::Apply(const AttemptReport& report) {
@@ -398,7 +476,7 @@
   const bool on_trial = order != nullptr && order->target == report.version &&
                         !rollouts_.IsTargetOnly(report.service);
   pool_.OnReport(report, ColdTime(report.service), !on_trial, now);
-  pace_.Learn(report);
+  pace_.Learn(report, now);
   if (report.repeat && !report.sent) BudgetOf(report.service).OnUnsent(now);
   rollouts_.OnReport(report, latency);
 }
@@ -500,6 +578,7 @@
   }
   ExtendCoverage(report.orders);
   pool_.UpdatePending(report.incarnation, report.pending, clock_.Now());
+  acceptances_.Merge(report.host, report.acceptance, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_timeout;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
@@ -553,6 +632,7 @@
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.OnEntryEnded(incarnation);
     pool_.ClearPending(incarnation);
+    acceptances_.Forget(host, now);
     if (routers_listed_) pool_.SetOtherEntries(peers_.OtherHosts());
   }
   if (table_ == nullptr) return {};
@@ -568,6 +648,7 @@
 PeerReport RouteState::MakeReport() const {
   PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
                     pool_.LargestPending(kMaxPendingEndpoints), orders_};
+  report.acceptance = acceptances_.Report(clock_.Now());
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -13,7 +13,8 @@
 #include "bamboodock/command/router/session_pins.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
-#include "bamboodock/policy/model_escalation.h"
+#include "bamboodock/policy/model_acceptances.h"
+#include "bamboodock/policy/model_choice.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/repeat_budget.h"
 #include "bamboodock/policy/stream_pace.h"
@@ -42,6 +43,7 @@
   void Apply(const UnderWayReport& report);
   void Apply(const AttemptReport& report);
   void Apply(const PromptReport& report) { prompts_.Apply(report, clock_.Now()); }
+  void Apply(const ConfidenceReport& report);
   void Apply(const OperatorDelta& delta);
   void Apply(const EndpointDelta& delta);
   void Apply(const RouterDelta& delta);
@@ -92,13 +94,19 @@
   PlanAnswer RefuseWithoutEndpoint(const PlanQuery& query, const RequestProgress& progress,
                                    const EndpointRequirements& requirements);
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
-  PlanAnswer ChooseAttempt(const PlanQuery& query, RequestProgress progress);
+  PlanAnswer ChooseAttempt(const PlanQuery& query, const ModelId& model, RequestProgress progress);
   VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
   VersionChoice ChooseRolloutVersion(const PlanQuery& query, const RequestProgress& progress,
                                      const RolloutOrder& order);
   VersionChoice ChooseBaselineVersion(const ServiceId& service);
   const RoutedService* ChooseService(const PlanQuery& query, const Route& route) const;
+  /// Whether the confidence of the answer in hand is too low at the present load.
   bool ShouldEscalate(const PlanQuery& query, const RequestProgress& progress);
+  /// Model of the next attempt, empty when the engine selects it; no value when the answer in hand
+  /// is to be delivered.
+  std::optional<ModelId> ChooseModel(const PlanQuery& query, const RequestProgress& progress);
+  /// Models of the route with their prices, and whether they can answer the request in time.
+  std::vector<ModelCandidate> Candidates(const PlanQuery& query, const RequestProgress& progress);
   Tokens EstimateWork(const CallerRequest& request, const RoutedService& service,
                       const ModelId& model) const;
   RepeatBudget& BudgetOf(const ServiceId& service);
@@ -131,7 +139,8 @@
   RolloutController rollouts_;
   SessionPins sessions_;
   PeerView peers_;
-  ModelEscalation escalation_;
+  ModelChoice models_;
+  ModelAcceptances acceptances_;
   StreamPace pace_;
   PromptGuard prompts_;
   std::map<ServiceId, RepeatBudget> budgets_;
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -30,6 +30,11 @@
   std::atomic<std::uint64_t> answers_draining{0};
   /// Attempts whose request could not be written whole to its endpoint.
   std::atomic<std::uint64_t> request_writes_failed{0};
+  /// Answers on routes whose model the router selects, and the sum of their confidences, by
+  /// position of the model, smallest first; the last position stands for all larger models too.
+  static constexpr std::size_t kModelPositions = 4;
+  std::array<std::atomic<std::uint64_t>, kModelPositions> answers_by_model{};
+  std::array<std::atomic<std::uint64_t>, kModelPositions> confidence_sum{};
   std::atomic<std::uint64_t> open_connections{0};
   std::atomic<std::uint64_t> open_requests{0};
 
--- a/src/bamboodock/command/router/router_limits.h
+++ b/src/bamboodock/command/router/router_limits.h
@@ -21,7 +21,8 @@
   Duration max_config_age = std::chrono::milliseconds(3750);
   /// A session keeps its version while its requests follow each other within this time.
   Duration session_timeout = std::chrono::seconds(5);
-  /// Confidence (0 to 100) below which an answer of the smallest model is discarded, by priority.
+  /// Confidence (0 to 100) below which an answer is discarded for that of a larger model, by
+  /// priority.
   std::vector<std::uint32_t> least_confidence{60};
 };
 
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -58,7 +58,7 @@
         network(settings.callers, settings.readiness,
                 NetworkServices{
                     adapters.wire, clock, log, counters,
-                    ModelEscalation(settings.limits.least_confidence), settings.answer_limits,
+                    ModelChoice(settings.limits.least_confidence), settings.answer_limits,
                     [this](RouteCommand command) { return planning.Post(std::move(command)); },
                     [this] { return planning.status(); }}),
         peers(
--- a/src/bamboodock/policy/stream_pace.cc
+++ b/src/bamboodock/policy/stream_pace.cc
@@ -1,6 +1,8 @@
 #include "bamboodock/policy/stream_pace.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace bamboodock {
 namespace {
@@ -8,36 +10,98 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr double kSmoothing = 0.05;
+/// Weight of the assumed length in complete streams. The first streams that end are the shortest of
+/// those under way, so a few of them must not set the estimate.
+constexpr std::uint32_t kLengthWeight = 4;
+/// A model without observations for this long may have become faster meanwhile.
+constexpr std::chrono::seconds kMaxAge{30};
+/// Limit of the ratio of prices as an estimate of the ratio of times.
+constexpr double kMaxPriceRatio = 10;
 
-template <class Key>
-void Smooth(std::map<Key, double>& means, const Key& key, double value) {
-  double& mean = means.try_emplace(key, value).first->second;
-  mean += kSmoothing * (value - mean);
+double ToDouble(Tokens tokens) { return static_cast<double>(tokens.value()); }
+
+/// Ratio of the times of two models, estimated from their prices.
+double TimeRatio(const PricedModel& larger, const PricedModel& smaller) {
+  if (!(larger.price > 0) || !(smaller.price > 0)) return kMaxPriceRatio;
+  return std::clamp(larger.price / smaller.price, 1.0, kMaxPriceRatio);
 }
 
 }  // namespace
 
-void StreamPace::Learn(const AttemptReport& report) {
-  const Key key{report.route, report.model};
-  if (report.head_latency) Smooth(head_latency_, key, Seconds(*report.head_latency).count());
-  if (report.event_interval) Smooth(event_interval_, key, Seconds(*report.event_interval).count());
-  if (report.stream_events == 0 || report.max_output_tokens.value() == 0) return;
-  Smooth(events_per_token_, report.route,
-         static_cast<double>(report.stream_events) /
-             static_cast<double>(report.max_output_tokens.value()));
+void StreamPace::Mean::Add(double sample, MonotonicTime now) {
+  updated = now;
+  ++count;
+  if (count == 1) {
+    value = sample;
+    return;
+  }
+  const double step = std::max(kSmoothing, 1.0 / count);
+  deviation += step * (std::abs(sample - value) - deviation);
+  value += step * (sample - value);
+}
+
+void StreamPace::Learn(const AttemptReport& report, MonotonicTime now) {
+  for (const Key& key : {Key{report.route, report.model}, Key{RouteId(), report.model}}) {
+    if (!report.head_latency) break;
+    Pace& pace = paces_[key];
+    // An answer that came under way has told its head latency before.
+    const bool told = report.early_event_interval && report.stream_events > 0;
+    if (!told) pace.head.Add(Seconds(*report.head_latency).count(), now);
+    if (report.event_interval) pace.interval.Add(Seconds(*report.event_interval).count(), now);
+  }
+  if (report.stream_events == 0) return;
+  const auto events = static_cast<double>(report.stream_events);
+  const auto learn = [&](std::map<RouteId, Mean>& ratios, Tokens tokens) {
+    if (tokens.value() == 0) return;
+    Mean& ratio = ratios.try_emplace(report.route, Mean{1, 0, kLengthWeight, now}).first->second;
+    ratio.Add(events / ToDouble(tokens), now);
+  };
+  learn(events_per_token_, report.max_output_tokens);
+  learn(events_per_expected_token_, report.expected_output_tokens.value_or(Tokens(0)));
+}
+
+const StreamPace::Pace* StreamPace::Find(const RouteId& route, const ModelId& model,
+                                         MonotonicTime now) const {
+  const Pace* old = nullptr;
+  for (const Key& key : {Key{route, model}, Key{RouteId(), model}}) {
+    const auto found = paces_.find(key);
+    if (found == paces_.end() || found->second.interval.count == 0) continue;
+    if (now - found->second.interval.updated <= kMaxAge) return &found->second;
+    if (old == nullptr) old = &found->second;
+  }
+  return old;
+}
+
+double StreamPace::ExpectedEvents(const AnswerToExpect& answer) const {
+  const auto ratio = [&](const std::map<RouteId, Mean>& ratios) {
+    const auto found = ratios.find(answer.route);
+    return found == ratios.end() ? 1.0 : found->second.value;
+  };
+  const double longest = ToDouble(answer.max_output_tokens);
+  const Tokens expected = answer.expected_output_tokens.value_or(Tokens(0));
+  if (expected.value() == 0) return longest * ratio(events_per_token_);
+  const double events = ToDouble(expected) * ratio(events_per_expected_token_);
+  return longest > 0 ? std::min(events, longest) : events;
 }
 
-std::optional<Duration> StreamPace::Expected(const RouteId& route, const ModelId& model,
-                                             Tokens max_output_tokens) const {
-  const auto events_per_token = events_per_token_.find(route);
-  const auto head = head_latency_.find({route, model});
-  const auto interval = event_interval_.find({route, model});
-  if (events_per_token == events_per_token_.end() || head == head_latency_.end() ||
-      interval == event_interval_.end()) {
-    return std::nullopt;
+std::optional<ExpectedTime> StreamPace::Expected(const AnswerToExpect& answer, std::size_t model,
+                                                 MonotonicTime now) const {
+  const double events = ExpectedEvents(answer);
+  if (events <= 0) return std::nullopt;
+  const auto time = [](double seconds) {
+    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+  };
+  for (std::size_t i = model + 1; i-- > 0;) {
+    const Pace* pace = Find(answer.route, answer.models[i].id, now);
+    if (pace == nullptr) continue;
+    // Endpoints differ in pace, and the attempt may get a slow one.
+    const double interval = pace->interval.value + pace->interval.deviation;
+    const double ratio = i == model ? 1 : TimeRatio(answer.models[model], answer.models[i]);
+    const bool stale = now - pace->interval.updated > kMaxAge;
+    return ExpectedTime{time(ratio * (pace->head.value + events * interval)), i != model || stale};
   }
-  const double events = events_per_token->second * static_cast<double>(max_output_tokens.value());
-  return std::chrono::duration_cast<Duration>(Seconds(head->second + events * interval->second));
+  if (answer.interval_objective <= Duration::zero()) return std::nullopt;
+  return ExpectedTime{time(events * Seconds(answer.interval_objective).count()), true};
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -42,6 +42,16 @@
   text += fmt::format("# TYPE {0} gauge\n{0} {1}\n", name, value);
 }
 
+/// One series for each position of a model.
+void AppendByModel(
+    std::string& text, std::string_view name,
+    const std::array<std::atomic<std::uint64_t>, RouterCounters::kModelPositions>& values) {
+  text += fmt::format("# TYPE {} counter\n", name);
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    text += fmt::format("{}{{position=\"{}\"}} {}\n", name, i, values.at(i).load());
+  }
+}
+
 void AppendLatency(std::string& text, const RouterCounters& counters) {
   constexpr std::string_view kName = "bamboodock_answer_seconds";
   text += fmt::format("# TYPE {} histogram\n", kName);
@@ -64,6 +74,8 @@
     text +=
         fmt::format("# TYPE {0} {1}\n{0} {2}\n", row.name, row.type, (counters_.*row.value).load());
   }
+  AppendByModel(text, "bamboodock_answers_by_model_total", counters_.answers_by_model);
+  AppendByModel(text, "bamboodock_confidence_sum", counters_.confidence_sum);
   const Ref<const RouterStatus> status = status_();
   const auto version = status->table ? status->table->version().value() : 0;
   AppendGauge(text, "bamboodock_config_version", static_cast<double>(version));
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -39,6 +39,8 @@
   /// Model and version of the previous attempt.
   ModelId model;
   VersionId version;
+  /// Model whose answer was the last one that did not suffice; empty when there is none.
+  ModelId insufficient;
 };
 
 /// Decision to send a request to one endpoint.
@@ -130,6 +132,8 @@
   std::uint64_t stream_events = 0;
   /// Largest number of output tokens that the caller accepts; 0 when it is not stated.
   Tokens max_output_tokens;
+  /// `RequestMetadata::expected_output_tokens`.
+  std::optional<Tokens> expected_output_tokens;
   /// Whether the endpoint may have received the request.
   bool sent = false;
   /// `AttemptPlan::repeat`.
--- a/test/command/router/network_duty_test.cc
+++ b/test/command/router/network_duty_test.cc
@@ -171,6 +171,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, endpoint.requests().size());
     CPPUNIT_ASSERT(endpoint.requests().at(1)["X-Bamboodock-Model"] == "m2");
     CPPUNIT_ASSERT(Contains(answer, StreamEvent(1)) && !Contains(answer, StreamEvent(7)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, router.counters().answers_by_model.at(0).load());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, router.counters().answers_by_model.at(2).load());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, router.counters().confidence_sum.at(2).load());
   }
 
   // Guards against endpoints that keep working on requests of disconnected callers.
