Ask a model whose time is only assumed in one of 16 requests

Cause: an entry learns the time of a larger model only by asking it. With one probe in 32 requests and ten requests a second on a route of long answers only, that takes several seconds. Change: one request in 16.

--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -39,7 +39,7 @@
 
 /// Share of the requests for which a model is asked although its assumed time is too long. Without
 /// them a model that has become faster would never be observed again.
-constexpr Ratio kProbeShare{1.0 / 32};
+constexpr Ratio kProbeShare{1.0 / 16};
 
 std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
