Decode load reports that state the slowdown and flag unreadable ones

Cause: a load report with a fourth figure, which states how long work takes at the endpoint, was dropped silently, and so was one in an unknown format.

The flag reaches the planning duty with the head of the answer and is counted. The load that another endpoint reports at the address no longer counts for the planned endpoint.

Not run: the other tests.

--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -378,10 +378,13 @@
   // Another endpoint speaks for itself, not for the one that was planned.
   attempt_.draining = head.draining && !head.wrong_endpoint;
   if (!head.wrong_endpoint) attempt_.rate_limit = head.rate_limit;
+  if (head.wrong_endpoint) head.load.reset();
+  if (head.unreadable_load) ++services_.counters.unreadable_load_reports;
   if (attempt_.draining) ++services_.counters.answers_draining;
   Post(HeadReport{RequestId(request_->metadata.attempt.value()), plan.endpoint, plan.started,
                   plan.work, head.load, attempt_.draining, head.retry_after, attempt_.rate_limit,
-                  head.IsSuccess(), attempt_.started});
+                  head.IsSuccess(), attempt_.started,
+                  head.unreadable_load && !head.wrong_endpoint});
   if (head.not_run) {
     --runs_;
     ++not_run_;
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -28,6 +28,8 @@
   std::atomic<std::uint64_t> refused_at_limit{0};
   /// Answers that state that their endpoint drains.
   std::atomic<std::uint64_t> answers_draining{0};
+  /// Load reports of endpoints that cannot be read.
+  std::atomic<std::uint64_t> unreadable_load_reports{0};
   /// Attempts whose request could not be written whole to its endpoint.
   std::atomic<std::uint64_t> request_writes_failed{0};
   std::atomic<std::uint64_t> open_connections{0};
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -90,6 +90,7 @@
     EventName{Event::kPromptPartProbed, "prompt_part_probed"},
     EventName{Event::kRemovalDeferred, "removal_deferred"},
     EventName{Event::kRateLimitChanged, "rate_limit_changed"},
+    EventName{Event::kLoadReportUnreadable, "load_report_unreadable"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -93,6 +93,7 @@
   kPromptPartProbed = 730,
   kRemovalDeferred = 731,
   kRateLimitChanged = 732,
+  kLoadReportUnreadable = 735,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- a/src/bamboodock/routing/attempt_plan.h
+++ b/src/bamboodock/routing/attempt_plan.h
@@ -110,6 +110,8 @@
   bool success = false;
   /// When the request was sent.
   MonotonicTime sent_at{};
+  /// Whether the answer has a load report that cannot be read.
+  bool unreadable_load = false;
 };
 
 /// Outcome of one attempt, for the load estimate and the rollout evidence about versions.
--- a/test/platform/http_wire_protocol_test.cc
+++ b/test/platform/http_wire_protocol_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(NotExecutedAndWrongEndpointAreDetected);
   CPPUNIT_TEST(RetryAfterCountsForStatus503Only);
   CPPUNIT_TEST(RateLimitIsANonNegativeNumber);
+  CPPUNIT_TEST(LoadReportMayStateTheSlowdown);
+  CPPUNIT_TEST(UnreadableLoadReportIsFlagged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -141,6 +143,26 @@
     CPPUNIT_ASSERT(!retry_after(429, "1"));
   }
 
+  // Guards against slow endpoints that get as much work as fast ones because their reports are
+  // dropped for the fourth figure.
+  void LoadReportMayStateTheSlowdown() {
+    const AnswerHead usual = DecodeLoad("64,12,64");
+    CPPUNIT_ASSERT(usual.load && !usual.load->slowdown && !usual.unreadable_load);
+    const AnswerHead slow = DecodeLoad("3, 1, 48, 262");
+    CPPUNIT_ASSERT(slow.load && slow.load->slots == Concurrency(48) && !slow.unreadable_load);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.62, slow.load->slowdown->value(), 1e-9);
+  }
+
+  // Guards against reports in an unknown format that are dropped without a trace.
+  void UnreadableLoadReportIsFlagged() {
+    for (const char* text : {"", "3,1", "3,1,48,", "3,1,48,0", "3,1,48,-5", "3,1,48,nan",
+                             "3,1,48,inf", "3,1,48,100,7", "x,1,48"}) {
+      const AnswerHead head = DecodeLoad(text);
+      CPPUNIT_ASSERT_MESSAGE(text, !head.load && head.unreadable_load);
+    }
+    CPPUNIT_ASSERT(!HttpWireProtocol().DecodeAnswer(200, {}, AttemptId("a1")).unreadable_load);
+  }
+
   // Guards against an endpoint that is overloaded or left out because of a malformed limit.
   void RateLimitIsANonNegativeNumber() {
     const auto rate_limit = [](const std::string& value) {
@@ -169,6 +191,11 @@
     return request;
   }
 
+  static AnswerHead DecodeLoad(const std::string& load) {
+    return HttpWireProtocol().DecodeAnswer(200, {{"X-Bamboodock-Server-Load", load}},
+                                           AttemptId("a1"));
+  }
+
   static bool IsAccepted(const std::vector<HttpHeader>& headers) {
     CallerRequest request;
     return HandleFailure(
