--- a/src/bamboodock/policy/decaying_answer_counts.h
+++ b/src/bamboodock/policy/decaying_answer_counts.h
@@ -19,6 +19,7 @@
     return good_;
   }
   double bad(MonotonicTime now) {
+    if (bad_ == 0) return 0;
     Decay(now);
     return bad_;
   }
--- a/src/bamboodock/policy/endpoint_statements.h
+++ b/src/bamboodock/policy/endpoint_statements.h
@@ -42,6 +42,7 @@
 
   /// Time until which the endpoint wants no requests; in the past when it takes them.
   MonotonicTime UnavailableUntil(const EndpointId& id, StartTime started) const {
+    if (statements_.empty()) return {};
     const auto found = statements_.find({id, started});
     return found == statements_.end() ? MonotonicTime() : found->second.unavailable_until;
   }
