Choose endpoints by expected time where they state a pace

Cause: in the deployment with uneven endpoints, answers of the heavy class begin late while a slow endpoint reads long prompts, since load reports without the pace make it look like any other.

Change: EndpointPool keeps an EndpointPace for each endpoint and chooses by expected time once one of the candidates has stated a pace; otherwise the choice is the earlier one. Endpoints whose memory would be exceeded are chosen only if all are.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -20,8 +20,6 @@
 constexpr std::chrono::duration<double> kReportHalfLife{1.5};
 /// A report of pending work expires after this time; reports arrive more often than that.
 constexpr std::chrono::milliseconds kPendingLifetime{1000};
-/// Pending prompt tokens, at the price of the most expensive model, that count as one open request.
-constexpr double kTokensPerPendingRequest = 2000;
 /// An endpoint with the prompt's shared parts in its cache is preferred while its load is at most
 /// this multiple of the mean, plus one request per `kTokensPerExtraRequest` shared tokens, which it
 /// does not process again.
@@ -38,6 +36,10 @@
 constexpr double kMaxLatencyRatioSample = 10.0;
 /// Ratio from which an endpoint counts as slow.
 constexpr double kSlowRatio = 2.0;
+/// Weight of a new attempt in the mean memory of attempts.
+constexpr double kMemorySmoothing = 0.02;
+/// Relative change of a slowdown from which the other entries are told of it before others.
+constexpr double kSlowdownNews = 0.03;
 
 std::uint64_t RendezvousWeight(const EndpointId& id, std::uint64_t key) {
   return XXH3_64bits_withSeed(id.value().data(), id.value().size(), key);
@@ -168,9 +170,14 @@
   return pending;
 }
 
-double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
+double EndpointPool::InFlightElsewhere(const PooledEndpoint& endpoint, MonotonicTime now) {
+  if (endpoint.in_flight_elsewhere <= 0) return 0;
   const std::chrono::duration<double> age = now - endpoint.load_reported_at;
-  return endpoint.in_flight + endpoint.in_flight_elsewhere * std::exp2(-age / kReportHalfLife) +
+  return endpoint.in_flight_elsewhere * std::exp2(-age / kReportHalfLife);
+}
+
+double EndpointPool::Load(const PooledEndpoint& endpoint, MonotonicTime now) const {
+  return endpoint.in_flight + InFlightElsewhere(endpoint, now) +
          TotalPending(endpoint, now) / kTokensPerPendingRequest;
 }
 
@@ -202,6 +209,75 @@
   return nullptr;
 }
 
+bool EndpointPool::HasMemory(const PooledEndpoint& endpoint,
+                             const EndpointRequirements& requirements, MonotonicTime now) const {
+  const Tokens own = endpoint.memory_used + requirements.memory;
+  const double used =
+      static_cast<double>(own.value()) + InFlightElsewhere(endpoint, now) * mean_memory_;
+  return used <= static_cast<double>(MemoryOf(endpoint.record.slots).value());
+}
+
+PlacementErrors EndpointPool::ErrorsOf(const PooledEndpoint& endpoint, MonotonicTime now) {
+  return {endpoint.pace.Error(now),
+          ReportError(endpoint.in_flight_elsewhere, now - endpoint.load_reported_at,
+                      std::chrono::duration_cast<Duration>(kReportHalfLife))};
+}
+
+PlacementOption EndpointPool::MakeOption(PooledEndpoint& endpoint,
+                                         const EndpointRequirements& requirements,
+                                         MonotonicTime now) const {
+  PlacementOption option;
+  const double mean = endpoint.pace.mean().value();
+  // The latency ratio includes the mean slowdown, which must not count twice.
+  const double unexplained = endpoint.latency_ratio / (kSlowRatio * std::max(1.0, mean));
+  option.slowdown = Slowdown(endpoint.pace.At(now).value() * std::max(1.0, unexplained));
+  option.ahead = RequestEquivalents(Load(endpoint, now));
+  option.own = ToRequests(requirements.work);
+  option.slots = endpoint.record.slots;
+  option.penalty = endpoint.answers.bad(now) / std::max(1U, endpoint.record.slots.value());
+  if (endpoint.record.availability_zone != local_zone_) option.penalty += kCrossZonePenalty;
+  return option;
+}
+
+void EndpointPool::CountCachedParts(const std::vector<PooledEndpoint*>& candidates,
+                                    const EndpointRequirements& requirements,
+                                    std::vector<PlacementOption>& options) {
+  if (requirements.affinity == 0 || requirements.shared_work.value() == 0) return;
+  std::vector<std::pair<double, std::size_t>> order;
+  order.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PooledEndpoint& endpoint = *candidates[i];
+    const std::uint64_t weight = RendezvousWeight(endpoint.record.id, requirements.affinity);
+    order.emplace_back(CacheOrder(weight, endpoint.pace.mean()), i);
+  }
+  const std::size_t copies = std::min(kCachedCopies, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(copies),
+                    order.end());
+  const Tokens uncached = requirements.work - requirements.shared_work;
+  for (std::size_t i = 0; i < copies; ++i) options[order[i].second].own = ToRequests(uncached);
+}
+
+PooledEndpoint* EndpointPool::ChooseByTime(std::vector<PooledEndpoint*>& candidates,
+                                           const EndpointRequirements& requirements, Random& random,
+                                           MonotonicTime now) const {
+  const auto without_memory = std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&](const auto* endpoint) { return HasMemory(*endpoint, requirements, now); });
+  if (without_memory != candidates.begin()) candidates.erase(without_memory, candidates.end());
+  std::vector<PlacementOption> options;
+  options.reserve(candidates.size());
+  for (PooledEndpoint* endpoint : candidates) {
+    options.push_back(MakeOption(*endpoint, requirements, now));
+  }
+  CountCachedParts(candidates, requirements, options);
+  std::vector<double> times(options.size());
+  std::transform(options.begin(), options.end(), times.begin(), ExpectedTime);
+  const auto error_of = [&](std::size_t i) {
+    return ExpectedTimeError(options[i], ErrorsOf(*candidates[i], now));
+  };
+  return candidates[ChoosePlacement(times, error_of, random)];
+}
+
 void EndpointPool::SelectSubset(std::vector<PooledEndpoint*>& usable,
                                 const EndpointRequirements& requirements) {
   if (requirements.subset_share.value() >= 1 || usable.size() < 2) return;
@@ -248,6 +324,10 @@
                                              : !above_share.empty() ? above_share
                                                                     : backed_off;
   if (candidates.empty()) return nullptr;
+  const bool knows_pace =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [](const PooledEndpoint* endpoint) { return endpoint->pace.known(); });
+  if (knows_pace) return ChooseByTime(candidates, requirements, random, now);
   if (requirements.affinity != 0) {
     if (PooledEndpoint* endpoint = ChooseByAffinity(candidates, requirements, now)) return endpoint;
   }
@@ -257,8 +337,10 @@
       [&](PooledEndpoint* a, PooledEndpoint* b) { return Score(*a, now) < Score(*b, now); });
 }
 
-void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now) {
+void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, Tokens memory, MonotonicTime now) {
   ++endpoint.in_flight;
+  endpoint.memory_used += memory;
+  mean_memory_ += kMemorySmoothing * (static_cast<double>(memory.value()) - mean_memory_);
   endpoint.pending_work += work.value();
   endpoint.recent_sends.Add(now);
   rate_limits_.OnSend(endpoint.record.id, endpoint.record.started, ranking_, now);
@@ -276,6 +358,12 @@
   const double total = load->running.value() + load->waiting.value();
   endpoint.in_flight_elsewhere = std::max(0.0, total - endpoint.in_flight);
   endpoint.load_reported_at = now;
+  if (load->slowdown) endpoint.pace.Observe(*load->slowdown, now);
+}
+
+bool EndpointPool::OnUnreadableLoad(const EndpointId& id, StartTime started) {
+  PooledEndpoint* const endpoint = FindCurrent(id, started);
+  return endpoint != nullptr && !std::exchange(endpoint->had_unreadable_load, true);
 }
 
 void EndpointPool::OnHead(const HeadReport& report, MonotonicTime now) {
@@ -331,6 +419,8 @@
   if (current == nullptr) return;
   PooledEndpoint& endpoint = *current;
   if (endpoint.in_flight > 0) --endpoint.in_flight;
+  endpoint.memory_used -=
+      std::min(endpoint.memory_used, MemoryNeed(report.prompt_tokens, report.max_output_tokens));
   if (!report.head_latency) {
     endpoint.pending_work -= std::min(endpoint.pending_work, report.work.value());
   }
@@ -385,6 +475,49 @@
   return pending;
 }
 
+std::vector<EndpointSlowdown> EndpointPool::TakeSlowdowns(std::size_t max_count,
+                                                          MonotonicTime now) {
+  struct Due {
+    double news;
+    PooledEndpoint* endpoint;
+  };
+  std::vector<Due> due;
+  for (auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.pace.has_own()) continue;
+    const double ratio = endpoint.pace.own_mean().value() / endpoint.shared_slowdown.value();
+    const double change = std::abs(std::log(ratio));
+    due.push_back({change < kSlowdownNews ? 0 : change, &endpoint});
+  }
+  const auto count = static_cast<std::ptrdiff_t>(std::min(max_count, due.size()));
+  std::partial_sort(due.begin(), due.begin() + count, due.end(), [](const Due& a, const Due& b) {
+    if (a.news != b.news) return a.news > b.news;
+    return a.endpoint->slowdown_shared_at < b.endpoint->slowdown_shared_at;
+  });
+  due.resize(static_cast<std::size_t>(count));
+  std::vector<EndpointSlowdown> slowdowns;
+  for (const auto& [news, endpoint] : due) {
+    endpoint->shared_slowdown = endpoint->pace.own_mean();
+    endpoint->slowdown_shared_at = now;
+    slowdowns.push_back({endpoint->record.id, endpoint->shared_slowdown});
+  }
+  return slowdowns;
+}
+
+void EndpointPool::MergeSlowdowns(const std::vector<EndpointSlowdown>& slowdowns,
+                                  MonotonicTime now) {
+  for (const EndpointSlowdown& reported : slowdowns) {
+    const auto found = endpoints_.find(reported.endpoint);
+    if (found != endpoints_.end()) found->second.pace.Merge(reported.slowdown, now);
+  }
+}
+
+SlowdownQuantiles EndpointPool::Slowdowns(MonotonicTime now) const {
+  std::vector<Slowdown> slowdowns;
+  slowdowns.reserve(endpoints_.size());
+  for (const auto& [id, endpoint] : endpoints_) slowdowns.push_back(endpoint.pace.At(now));
+  return QuantilesOf(std::move(slowdowns));
+}
+
 double EndpointPool::MeanPending(const ServiceId& service, MonotonicTime now) const {
   double total = 0;
   std::size_t count = 0;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -9,12 +9,15 @@
 #include "bamboodock/core/clock.h"
 #include "bamboodock/policy/cold_rate_limit.h"
 #include "bamboodock/policy/decaying_answer_counts.h"
+#include "bamboodock/policy/endpoint_pace.h"
 #include "bamboodock/policy/endpoint_rate_limits.h"
 #include "bamboodock/policy/endpoint_statements.h"
 #include "bamboodock/policy/entry_ranking.h"
 #include "bamboodock/policy/latency_baseline.h"
+#include "bamboodock/policy/placement.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/sliding_count.h"
+#include "bamboodock/policy/slowdown_quantiles.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/endpoint_record.h"
 #include "bamboodock/routing/peer_report.h"
@@ -34,6 +37,14 @@
   /// Open attempts of the other entries by the endpoint's last load report, and when it arrived.
   double in_flight_elsewhere = 0;
   MonotonicTime load_reported_at{};
+  EndpointPace pace;
+  /// Slowdown that the other entries were told last, and when.
+  Slowdown shared_slowdown{1};
+  MonotonicTime slowdown_shared_at{};
+  /// Tokens for which this entry's open attempts need memory.
+  Tokens memory_used;
+  /// Whether a load report could not be read.
+  bool had_unreadable_load = false;
   /// The request rate is limited until then, as the endpoint may have cold caches.
   MonotonicTime cold_until{};
   /// Chosen until then only if no other endpoint is usable, after a connect error or frequent
@@ -63,6 +74,10 @@
   Ratio subset_share{1.0};
   /// Estimated work of the attempt.
   Tokens work;
+  /// Part of `work` for the shared parts of the prompt.
+  Tokens shared_work;
+  /// Tokens for which the attempt needs memory.
+  Tokens memory;
   /// Whether the caller can be answered without the attempt.
   bool optional = false;
 };
@@ -92,8 +107,12 @@
   /// again; empty when none of those that meet the requirements has.
   std::optional<MonotonicTime> FirstAvailableAt(const EndpointRequirements& requirements,
                                                 MonotonicTime now);
-  void OnSend(PooledEndpoint& endpoint, Tokens work, MonotonicTime now);
+  /// @param memory Tokens for which the attempt needs memory.
+  void OnSend(PooledEndpoint& endpoint, Tokens work, Tokens memory, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
+  /// Records a load report that cannot be read; returns whether it is the first one of this
+  /// lifetime of the endpoint.
+  bool OnUnreadableLoad(const EndpointId& id, StartTime started);
   EndpointRateLimits& rate_limits() { return rate_limits_; }
   const EndpointRateLimits& rate_limits() const { return rate_limits_; }
   /// Records that an answer of the endpoint states that it drains. It is not chosen again in this
@@ -112,6 +131,13 @@
                      MonotonicTime now);
   /// Pending work of this entry, largest first, for at most `max_count` endpoints.
   std::vector<PendingWork> LargestPending(std::size_t max_count) const;
+  /// Long-run slowdowns for the other entries, at most `max_count`: those that changed most since
+  /// they were told, then those that were told longest ago, as reports may be lost.
+  std::vector<EndpointSlowdown> TakeSlowdowns(std::size_t max_count, MonotonicTime now);
+  /// Records long-run slowdowns that another entry has observed.
+  void MergeSlowdowns(const std::vector<EndpointSlowdown>& slowdowns, MonotonicTime now);
+  /// Slowdowns over all endpoints; one that states none counts as 1.
+  SlowdownQuantiles Slowdowns(MonotonicTime now) const;
   /// Mean pending work of all entries per endpoint of the service, without draining ones.
   double MeanPending(const ServiceId& service, MonotonicTime now) const;
 
@@ -146,6 +172,8 @@
   void UseRateLimits(std::vector<PooledEndpoint*>& usable,
                      const EndpointRequirements& requirements) const;
   static double TotalPending(const PooledEndpoint& endpoint, MonotonicTime now);
+  /// Open attempts of the other entries, estimated from the last load report.
+  static double InFlightElsewhere(const PooledEndpoint& endpoint, MonotonicTime now);
   double Load(const PooledEndpoint& endpoint, MonotonicTime now) const;
   double Score(PooledEndpoint& endpoint, MonotonicTime now) const;
   /// Keeps the endpoints with the highest rendezvous weight for the service; all entries keep the
@@ -155,6 +183,22 @@
   PooledEndpoint* ChooseByAffinity(const std::vector<PooledEndpoint*>& candidates,
                                    const EndpointRequirements& requirements,
                                    MonotonicTime now) const;
+  /// Whether the attempt fits into the endpoint's memory, as far as is known of it.
+  bool HasMemory(const PooledEndpoint& endpoint, const EndpointRequirements& requirements,
+                 MonotonicTime now) const;
+  static PlacementErrors ErrorsOf(const PooledEndpoint& endpoint, MonotonicTime now);
+  /// Expected time of the attempt if no part of its prompt is cached.
+  PlacementOption MakeOption(PooledEndpoint& endpoint, const EndpointRequirements& requirements,
+                             MonotonicTime now) const;
+  /// Leaves out the work for shared prompt parts at the endpoints that are expected to have them
+  /// cached.
+  static void CountCachedParts(const std::vector<PooledEndpoint*>& candidates,
+                               const EndpointRequirements& requirements,
+                               std::vector<PlacementOption>& options);
+  /// Chooses by expected time, for endpoints that state how long work takes.
+  PooledEndpoint* ChooseByTime(std::vector<PooledEndpoint*>& candidates,
+                               const EndpointRequirements& requirements, Random& random,
+                               MonotonicTime now) const;
   /// Endpoint with this id and start time; null when it is gone or has restarted.
   PooledEndpoint* FindCurrent(const EndpointId& id, StartTime started);
   static void UpdateLoad(PooledEndpoint& endpoint, const std::optional<ReportedLoad>& load,
@@ -169,6 +213,8 @@
   std::map<EndpointId, PooledEndpoint> endpoints_;
   std::map<AvailabilityZoneId, bool> evacuated_;
   LatencyBaseline latency_baseline_;
+  /// Mean of the memory that this entry's attempts need, in tokens; stands for those of the others.
+  double mean_memory_ = 0;
   /// Includes what registrations said, since an older one may be delivered again.
   EndpointStatements statements_;
   EndpointRateLimits rate_limits_;
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -67,6 +67,7 @@
   status->entries = state_.entries();
   status->quarantined_prompt_parts = state_.quarantined_prompt_parts();
   status->rate_limited_endpoints = state_.rate_limited_endpoints();
+  status->slowdown = state_.slowdown_quantiles();
   status_.Store(std::move(status));
   const bool ready = state_.Ready();
   if (ready == ready_) return;
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -32,6 +32,8 @@
 
 /// Limit of endpoints with pending work in a report, so that it fits into one datagram.
 constexpr std::size_t kMaxPendingEndpoints = 24;
+/// The same for endpoints with their slowdown.
+constexpr std::size_t kMaxSharedSlowdowns = 12;
 
 /// A version without a rollout order is used only after this delay, since its order may arrive
 /// later than its registrations.
@@ -56,6 +58,13 @@
   return Hash(parts[parts.size() - 2].id.value()) | 1U;
 }
 
+/// Part of the work that is due to the shared tokens of the prompt.
+Tokens SharedWork(Tokens work, Tokens shared, Tokens prompt) {
+  if (shared >= prompt) return work;
+  const double share = static_cast<double>(shared.value()) / static_cast<double>(prompt.value());
+  return Tokens(static_cast<std::uint64_t>(share * static_cast<double>(work.value())));
+}
+
 /// Tokens of the prompt parts that other requests share: all but the last part.
 Tokens SharedTokens(const RequestMetadata& metadata) {
   Tokens shared;
@@ -302,6 +311,9 @@
   requirements.tried = &progress.tried;
   requirements.shared = SharedTokens(request.metadata);
   requirements.work = work;
+  requirements.shared_work = SharedWork(work, requirements.shared, request.metadata.prompt_tokens);
+  requirements.memory =
+      MemoryNeed(request.metadata.prompt_tokens, request.metadata.max_output_tokens);
   requirements.optional = query.reason == PlanReason::kNextModel;
   if (requirements.shared >= kAffinityTokens) requirements.affinity = AffinityKey(request.metadata);
   requirements.subset_share = choice.subset_share;
@@ -323,7 +335,7 @@
   if (repeat && !budget.TryRepeat(now, peers_.EntryCount())) {
     return Refuse(query, ResultCode::kRetryBudgetSpent, "retry budget of the service exhausted");
   }
-  pool_.OnSend(*endpoint, work, now);
+  pool_.OnSend(*endpoint, work, requirements.memory, now);
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
   const VersionId& version = endpoint->record.version;
   if (order != nullptr) rollouts_.OnSend(progress.service->id, version == order->target);
@@ -351,11 +363,12 @@
   progress.model = plan.model;
   progress.version = version;
   plan.progress = std::move(progress);
-  log_.Write(
-      Event::kAttemptPlanned, RequestId(request.metadata.attempt.value()),
-      fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} {}",
-                  plan.endpoint.value(), version.value(), plan.model.value(), Name(query.reason),
-                  request.metadata.session.value(), endpoint->in_flight, ConfigSummary()));
+  log_.Write(Event::kAttemptPlanned, RequestId(request.metadata.attempt.value()),
+             fmt::format("endpoint={} version={} model={} reason={} session={} in_flight={} "
+                         "slowdown={:.2f} work={} {}",
+                         plan.endpoint.value(), version.value(), plan.model.value(),
+                         Name(query.reason), request.metadata.session.value(), endpoint->in_flight,
+                         endpoint->pace.At(now).value(), work.value(), ConfigSummary()));
   return {std::move(plan), {}, nullptr, nullptr};
 }
 
@@ -375,6 +388,11 @@
 void RouteState::Apply(const HeadReport& report) {
   const MonotonicTime now = clock_.Now();
   pool_.OnHead(report, now);
+  if (report.unreadable_load && pool_.OnUnreadableLoad(report.endpoint, report.started)) {
+    log_.Write(
+        Event::kLoadReportUnreadable, report.request,
+        fmt::format("endpoint={} started={}", report.endpoint.value(), report.started.value()));
+  }
   if (report.rate_limit || report.success) {
     const RateLimitStatement statement{report.endpoint, report.started, report.rate_limit,
                                        report.rate_limit ? now : report.sent_at};
@@ -500,6 +518,7 @@
   }
   ExtendCoverage(report.orders);
   pool_.UpdatePending(report.incarnation, report.pending, clock_.Now());
+  pool_.MergeSlowdowns(report.slowdowns, clock_.Now());
   const MonotonicTime until = clock_.Now() + limits_.session_timeout;
   for (const RolloutEvidence& evidence : report.rollouts) {
     rollouts_.Apply(report.incarnation, evidence);
@@ -549,6 +568,7 @@
 std::vector<RolloutProgress> RouteState::Tick() {
   const MonotonicTime now = clock_.Now();
   sessions_.Prune(now);
+  slowdown_quantiles_ = pool_.Slowdowns(now);
   for (const auto& [host, incarnation] : peers_.RemoveSilent(now, kPeerTimeout)) {
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.OnEntryEnded(incarnation);
@@ -565,9 +585,10 @@
   return rollouts_.Tick(store_now_ + elapsed, open);
 }
 
-PeerReport RouteState::MakeReport() const {
+PeerReport RouteState::MakeReport() {
   PeerReport report{identity_.host, identity_.incarnation, rollouts_.Evidence(),
                     pool_.LargestPending(kMaxPendingEndpoints), orders_};
+  report.slowdowns = pool_.TakeSlowdowns(kMaxSharedSlowdowns, clock_.Now());
   for (RolloutEvidence& evidence : report.rollouts) {
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -51,7 +51,8 @@
 
   /// Does periodic work; returns the rollout rows to write to the store.
   std::vector<RolloutProgress> Tick();
-  PeerReport MakeReport() const;
+  /// Report for the other entries; records what they are told.
+  PeerReport MakeReport();
   /// Evidence about prompt parts for the other entries; empty when none is due.
   std::optional<PromptEvidenceReport> TakePromptEvidence() {
     return prompts_.TakeReport(clock_.Now());
@@ -74,6 +75,8 @@
   std::uint32_t entries() const { return peers_.EntryCount(); }
   std::size_t endpoint_count() const { return pool_.size(); }
   std::size_t rate_limited_endpoints() const { return pool_.rate_limits().limited_count(); }
+  /// Slowdowns over all endpoints as of the last `Tick`.
+  const SlowdownQuantiles& slowdown_quantiles() const { return slowdown_quantiles_; }
   std::size_t quarantined_prompt_parts() const { return prompts_.quarantined_count(); }
 
  private:
@@ -128,6 +131,7 @@
   bool endpoints_listed_ = false;
   bool routers_listed_ = false;
   EndpointPool pool_;
+  SlowdownQuantiles slowdown_quantiles_;
   RolloutController rollouts_;
   SessionPins sessions_;
   PeerView peers_;
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <string_view>
+#include <utility>
 
 #include "bamboodock/observe/log.h"
 
@@ -32,6 +33,8 @@
     CounterRow{"bamboodock_prompts_refused_total", "counter", &RouterCounters::prompts_refused},
     CounterRow{"bamboodock_refused_at_limit_total", "counter", &RouterCounters::refused_at_limit},
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
+    CounterRow{"bamboodock_unreadable_load_reports_total", "counter",
+               &RouterCounters::unreadable_load_reports},
     CounterRow{"bamboodock_request_writes_failed_total", "counter",
                &RouterCounters::request_writes_failed},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
@@ -42,6 +45,16 @@
   text += fmt::format("# TYPE {0} gauge\n{0} {1}\n", name, value);
 }
 
+void AppendSlowdown(std::string& text, const SlowdownQuantiles& quantiles) {
+  constexpr std::string_view kName = "bamboodock_endpoint_slowdown";
+  text += fmt::format("# TYPE {} gauge\n", kName);
+  for (const auto& [quantile, slowdown] :
+       {std::pair(0.1, quantiles.low), std::pair(0.5, quantiles.median),
+        std::pair(0.9, quantiles.high)}) {
+    text += fmt::format("{}{{quantile=\"{}\"}} {}\n", kName, quantile, slowdown.value());
+  }
+}
+
 void AppendLatency(std::string& text, const RouterCounters& counters) {
   constexpr std::string_view kName = "bamboodock_answer_seconds";
   text += fmt::format("# TYPE {} histogram\n", kName);
@@ -73,6 +86,7 @@
               static_cast<double>(status->quarantined_prompt_parts));
   AppendGauge(text, "bamboodock_rate_limited_endpoints",
               static_cast<double>(status->rate_limited_endpoints));
+  AppendSlowdown(text, status->slowdown);
   AppendGauge(text, "bamboodock_dropped_log_lines", static_cast<double>(DroppedLogLines()));
   AppendLatency(text, counters_);
   return text;
--- a/src/bamboodock/query/router/router_status.h
+++ b/src/bamboodock/query/router/router_status.h
@@ -2,6 +2,7 @@
 
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/core/units.h"
+#include "bamboodock/policy/slowdown_quantiles.h"
 #include "bamboodock/routing/route_table.h"
 
 namespace bamboodock {
@@ -16,6 +17,7 @@
   std::uint32_t entries = 1;
   std::size_t quarantined_prompt_parts = 0;
   std::size_t rate_limited_endpoints = 0;
+  SlowdownQuantiles slowdown;
 };
 
 }  // namespace bamboodock
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -94,6 +94,8 @@
   CPPUNIT_TEST(UnreachableEndpointIsAvoided);
   CPPUNIT_TEST(UnsentAttemptsDoNotUseTheRepeatBudget);
   CPPUNIT_TEST(RequestThatMayHaveRunIsNotPlannedAgain);
+  CPPUNIT_TEST(UnreadableLoadReportIsLoggedOnce);
+  CPPUNIT_TEST(SlowdownIsSharedAndLogged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -121,6 +123,38 @@
     CPPUNIT_ASSERT(state_->Plan(query).plan.has_value());
   }
 
+  // Guards against reports that are dropped silently, and against a log line for each of them.
+  void UnreadableLoadReportIsLoggedOnce() {
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1")}, {}});
+    HeadReport report;
+    report.endpoint = EndpointId("e1");
+    report.started = StartTime(1);
+    report.unreadable_load = true;
+    state_->Apply(report);
+    state_->Apply(report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_->Count(Event::kLoadReportUnreadable));
+  }
+
+  // Guards against a slowdown that stays in the entry that learned it, or is not in the log.
+  void SlowdownIsSharedAndLogged() {
+    Install(1, {"k1"});
+    state_->Apply(EndpointDelta{{MakeEndpoint("e1")}, {}});
+    PeerReport peer = MakePeerReport({});
+    peer.slowdowns = {{EndpointId("e1"), Slowdown(2)}};
+    state_->Apply(peer);
+    CPPUNIT_ASSERT(state_->MakeReport().slowdowns.empty());
+    HeadReport report;
+    report.endpoint = EndpointId("e1");
+    report.started = StartTime(1);
+    report.load = ReportedLoad{Concurrency(1), Concurrency(0), Concurrency(64), Slowdown(3)};
+    state_->Apply(report);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3, state_->MakeReport().slowdowns.at(0).slowdown.value(), 0.01);
+    CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kOk);
+    CPPUNIT_ASSERT(log_->lines.back().detail.find("slowdown=3.00 work=0") != std::string::npos);
+    state_->Tick();
+    CPPUNIT_ASSERT(state_->slowdown_quantiles().median.value() > 2.9);
+  }
+
   // Guards against a 404 or 401 from an entry that has no configuration yet.
   void RefusesBeforeFirstConfiguration() {
     CPPUNIT_ASSERT(Code("/a/", "k1") == ResultCode::kNoConfiguration);
