--- a/src/bamboodock/policy/stream_pace.cc
+++ b/src/bamboodock/policy/stream_pace.cc
@@ -84,8 +84,8 @@
   return longest > 0 ? std::min(events, longest) : events;
 }
 
-std::optional<ExpectedTime> StreamPace::Expected(const AnswerToExpect& answer, std::size_t model,
-                                                 MonotonicTime now) const {
+std::optional<AnswerEstimate> StreamPace::Expected(const AnswerToExpect& answer, std::size_t model,
+                                                   MonotonicTime now) const {
   const double events = ExpectedEvents(answer);
   if (events <= 0) return std::nullopt;
   const auto time = [](double seconds) {
@@ -98,10 +98,11 @@
     const double interval = pace->interval.value + pace->interval.deviation;
     const double ratio = i == model ? 1 : TimeRatio(answer.models[model], answer.models[i]);
     const bool stale = now - pace->interval.updated > kMaxAge;
-    return ExpectedTime{time(ratio * (pace->head.value + events * interval)), i != model || stale};
+    return AnswerEstimate{time(ratio * (pace->head.value + events * interval)),
+                          i != model || stale};
   }
   if (answer.interval_objective <= Duration::zero()) return std::nullopt;
-  return ExpectedTime{time(events * Seconds(answer.interval_objective).count()), true};
+  return AnswerEstimate{time(events * Seconds(answer.interval_objective).count()), true};
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/stream_pace.h
+++ b/src/bamboodock/policy/stream_pace.h
@@ -23,8 +23,8 @@
   Duration interval_objective{};
 };
 
-/// Estimate of the time from the start of an attempt to its last event.
-struct ExpectedTime {
+/// Estimated time from the start of an attempt to its last event.
+struct AnswerEstimate {
   Duration time{};
   /// Whether the model itself has not been observed lately, so that only asking it shows more.
   bool assumed = false;
@@ -42,8 +42,8 @@
 
   /// Expected time of the model at position `model`; empty while neither its length nor any
   /// interval is known.
-  std::optional<ExpectedTime> Expected(const AnswerToExpect& answer, std::size_t model,
-                                       MonotonicTime now) const;
+  std::optional<AnswerEstimate> Expected(const AnswerToExpect& answer, std::size_t model,
+                                         MonotonicTime now) const;
 
   /// Expected events of an answer; 0 when its length is not known.
   double ExpectedEvents(const AnswerToExpect& answer) const;
