Ask a larger model by the chance that its answer ends in time

Cause: the first form of the choice assumed one event for each token until streams had ended, added the deviation of intervals and kept a tenth of the time back. With 28 entries each learns slowly, so most answers of the smallest model were delivered whatever their confidence.

Change: lengths are learned over all routes too and nothing is assumed before a stream has ended; a model is asked when it is more likely to end before the deadline than the answer in hand is good. The refusal of an escalation states load and time left. A load limit that follows the objective was tried and dropped.

--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -43,6 +43,9 @@
 /// them a model that has become faster would never be observed again.
 constexpr Ratio kProbeShare{1.0 / 16};
 
+/// Confidences are in percent.
+constexpr double kPercent = 100;
+
 std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
 /// Hash of a text as a number in [0, 1); equal on all entries.
@@ -171,8 +174,14 @@
   }
   const std::optional<ModelId> model = ChooseModel(query, progress);
   if (!model) {
-    return Refuse(query, ResultCode::kOverloaded,
-                  "confidence of the smaller model suffices at this load and time left");
+    const EscalationConditions load = ConditionsOf(progress.service->id);
+    const Duration left = RequestDeadline(*query.request, progress.route) - clock_.Now();
+    return Refuse(
+        query, ResultCode::kOverloaded,
+        fmt::format("confidence of the smaller model suffices at this load and time left: "
+                    "confidence={} pending_tokens={:.0f} budget_used={:.2f} left_ms={}",
+                    query.confidence, load.pending_tokens, load.budget_used.value(),
+                    ToMillis(left)));
   }
   if (const auto refusal = prompts_.Check(*query.request, pool_.ranking(), clock_.Now())) {
     PlanAnswer refused =
@@ -228,12 +237,13 @@
   return table_->FindService(route.services.back().service);
 }
 
-bool RouteState::ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) {
+EscalationConditions RouteState::ConditionsOf(const ServiceId& service) {
   const MonotonicTime now = clock_.Now();
-  const ServiceId& service = progress.service->id;
-  EscalationConditions conditions;
-  conditions.pending_tokens = pool_.MeanPending(service, now);
-  conditions.budget_used = BudgetOf(service).UsedPart(now, peers_.EntryCount());
+  return {pool_.MeanPending(service, now), BudgetOf(service).UsedPart(now, peers_.EntryCount())};
+}
+
+bool RouteState::ShouldEscalate(const PlanQuery& query, const RequestProgress& progress) {
+  const EscalationConditions conditions = ConditionsOf(progress.service->id);
   return query.confidence < models_.LeastConfidence(*progress.route, conditions);
 }
 
@@ -242,21 +252,20 @@
   const MonotonicTime now = clock_.Now();
   const RequestMetadata& metadata = query.request->metadata;
   const Duration left = RequestDeadline(*query.request, progress.route) - now;
-  AnswerToExpect answer{progress.route->id,
-                        {},
-                        metadata.max_output_tokens,
-                        metadata.expected_output_tokens,
-                        progress.route->interval_objective};
+  AnswerToExpect answer{
+      progress.route->id, {}, metadata.max_output_tokens, metadata.expected_output_tokens};
   answer.models.reserve(progress.route->models.size());
   for (const ModelId& model : progress.route->models) {
     answer.models.push_back({model, PriceOf(*progress.service, model)});
   }
+  const Ratio least = query.reason == PlanReason::kNextModel ? Ratio(query.confidence / kPercent)
+                                                             : ModelChoice::kEvenChance;
   const bool probes = random_.Uniform() < kProbeShare.value();
   std::vector<ModelCandidate> candidates;
   candidates.reserve(answer.models.size());
   for (std::size_t i = 0; i < answer.models.size(); ++i) {
     const auto expected = pace_.Expected(answer, i, now);
-    const bool in_time = !expected || ModelChoice::IsInTime(expected->time, left);
+    const bool in_time = !expected || ModelChoice::IsInTime(expected->time, left, least);
     candidates.push_back({answer.models[i].price, in_time || (probes && expected->assumed)});
   }
   return candidates;
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -104,6 +104,7 @@
   VersionChoice ChooseBaselineVersion(const ServiceId& service);
   const RoutedService* ChooseService(const PlanQuery& query, const Route& route) const;
   /// Whether the confidence of the answer in hand is too low at the present load.
+  EscalationConditions ConditionsOf(const ServiceId& service);
   bool ShouldEscalate(const PlanQuery& query, const RequestProgress& progress);
   /// Model of the next attempt, empty when the engine selects it; no value when the answer in hand
   /// is to be delivered.
--- a/src/bamboodock/policy/stream_pace.cc
+++ b/src/bamboodock/policy/stream_pace.cc
@@ -10,9 +10,6 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr double kSmoothing = 0.05;
-/// Weight of the assumed length in complete streams. The first streams that end are the shortest of
-/// those under way, so a few of them must not set the estimate.
-constexpr std::uint32_t kLengthWeight = 4;
 /// A model without observations for this long may have become faster meanwhile.
 constexpr std::chrono::seconds kMaxAge{30};
 /// Limit of the ratio of prices as an estimate of the ratio of times.
@@ -36,7 +33,6 @@
     return;
   }
   const double step = std::max(kSmoothing, 1.0 / count);
-  deviation += step * (std::abs(sample - value) - deviation);
   value += step * (sample - value);
 }
 
@@ -53,8 +49,9 @@
   const auto events = static_cast<double>(report.stream_events);
   const auto learn = [&](std::map<RouteId, Mean>& ratios, Tokens tokens) {
     if (tokens.value() == 0) return;
-    Mean& ratio = ratios.try_emplace(report.route, Mean{1, 0, kLengthWeight, now}).first->second;
-    ratio.Add(events / ToDouble(tokens), now);
+    for (const RouteId& route : {report.route, RouteId()}) {
+      ratios[route].Add(events / ToDouble(tokens), now);
+    }
   };
   learn(events_per_token_, report.max_output_tokens);
   learn(events_per_expected_token_, report.expected_output_tokens.value_or(Tokens(0)));
@@ -74,8 +71,10 @@
 
 double StreamPace::ExpectedEvents(const AnswerToExpect& answer) const {
   const auto ratio = [&](const std::map<RouteId, Mean>& ratios) {
-    const auto found = ratios.find(answer.route);
-    return found == ratios.end() ? 1.0 : found->second.value;
+    auto found = ratios.find(answer.route);
+    // Engines put about as many tokens into an event on every route.
+    if (found == ratios.end()) found = ratios.find(RouteId());
+    return found == ratios.end() ? 0.0 : found->second.value;
   };
   const double longest = ToDouble(answer.max_output_tokens);
   const Tokens expected = answer.expected_output_tokens.value_or(Tokens(0));
@@ -94,15 +93,12 @@
   for (std::size_t i = model + 1; i-- > 0;) {
     const Pace* pace = Find(answer.route, answer.models[i].id, now);
     if (pace == nullptr) continue;
-    // Endpoints differ in pace, and the attempt may get a slow one.
-    const double interval = pace->interval.value + pace->interval.deviation;
     const double ratio = i == model ? 1 : TimeRatio(answer.models[model], answer.models[i]);
     const bool stale = now - pace->interval.updated > kMaxAge;
-    return AnswerEstimate{time(ratio * (pace->head.value + events * interval)),
+    return AnswerEstimate{time(ratio * (pace->head.value + events * pace->interval.value)),
                           i != model || stale};
   }
-  if (answer.interval_objective <= Duration::zero()) return std::nullopt;
-  return AnswerEstimate{time(events * Seconds(answer.interval_objective).count()), true};
+  return std::nullopt;
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/stream_pace.h
+++ b/src/bamboodock/policy/stream_pace.h
@@ -19,8 +19,6 @@
   /// Largest number of output tokens that the caller accepts; 0 when it is not stated.
   Tokens max_output_tokens;
   std::optional<Tokens> expected_output_tokens;
-  /// Interval to assume while no events of any model are known; zero when there is none.
-  Duration interval_objective{};
 };
 
 /// Estimated time from the start of an attempt to its last event.
@@ -40,19 +38,18 @@
   /// Learns from one attempt, complete or not, or from an attempt under way.
   void Learn(const AttemptReport& report, MonotonicTime now);
 
-  /// Expected time of the model at position `model`; empty while neither its length nor any
-  /// interval is known.
+  /// Expected time of the model at position `model`; empty until one stream has ended and events of
+  /// this model or a smaller one are known.
   std::optional<AnswerEstimate> Expected(const AnswerToExpect& answer, std::size_t model,
                                          MonotonicTime now) const;
 
-  /// Expected events of an answer; 0 when its length is not known.
+  /// Expected events of an answer; 0 until a stream has ended.
   double ExpectedEvents(const AnswerToExpect& answer) const;
 
  private:
-  /// Smoothed mean of a value with its mean absolute deviation.
+  /// Smoothed mean of a value.
   struct Mean {
     double value = 0;
-    double deviation = 0;
     std::uint32_t count = 0;
     MonotonicTime updated{};
 
@@ -70,7 +67,7 @@
   const Pace* Find(const RouteId& route, const ModelId& model, MonotonicTime now) const;
 
   /// Mean events of a complete stream for each output token that its caller accepts, and for each
-  /// that it expects.
+  /// that it expects; the empty route stands for all of them.
   std::map<RouteId, Mean> events_per_token_;
   std::map<RouteId, Mean> events_per_expected_token_;
   /// By route and model; the empty route stands for all of them.
