Compute each score of a choice once

Cause: the choice by load computed two scores for each comparison, and the one by time the decay of each load report twice.

Change: scores are computed once before the least is taken; the choice is the same. The decay is left out where the memory suffices without it.

The 50 tests that were linked by hand pass.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -212,9 +212,10 @@
 bool EndpointPool::HasMemory(const PooledEndpoint& endpoint,
                              const EndpointRequirements& requirements, MonotonicTime now) const {
   const Tokens own = endpoint.memory_used + requirements.memory;
-  const double used =
-      static_cast<double>(own.value()) + InFlightElsewhere(endpoint, now) * mean_memory_;
-  return used <= static_cast<double>(MemoryOf(endpoint.record.slots).value());
+  const Tokens memory = MemoryOf(endpoint.record.slots);
+  const double left = static_cast<double>(memory.value()) - static_cast<double>(own.value());
+  if (endpoint.in_flight_elsewhere * mean_memory_ <= left) return true;
+  return InFlightElsewhere(endpoint, now) * mean_memory_ <= left;
 }
 
 PlacementErrors EndpointPool::ErrorsOf(const PooledEndpoint& endpoint, MonotonicTime now) {
@@ -299,6 +300,7 @@
   const std::uint32_t default_share =
       std::max(1U, ColdShare(cold_limit, ranking_.size(), ranking_.size()));
   std::vector<PooledEndpoint*> usable;
+  usable.reserve(endpoints_.size());
   for (auto& [id, endpoint] : endpoints_) {
     if (UnavailableUntil(endpoint) > now) continue;
     if (!IsUsable(endpoint, requirements)) continue;
@@ -332,9 +334,11 @@
     if (PooledEndpoint* endpoint = ChooseByAffinity(candidates, requirements, now)) return endpoint;
   }
   std::shuffle(candidates.begin(), candidates.end(), random);
-  return *std::min_element(
-      candidates.begin(), candidates.end(),
-      [&](PooledEndpoint* a, PooledEndpoint* b) { return Score(*a, now) < Score(*b, now); });
+  std::vector<double> scores(candidates.size());
+  std::transform(candidates.begin(), candidates.end(), scores.begin(),
+                 [&](PooledEndpoint* endpoint) { return Score(*endpoint, now); });
+  return candidates[static_cast<std::size_t>(std::min_element(scores.begin(), scores.end()) -
+                                             scores.begin())];
 }
 
 void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, Tokens memory, MonotonicTime now) {
