Bound the memory and connections that callers take

Cause: the limits of one request do not bound the sum over all callers, and the parser bounds neither trailers nor chunk extensions. Callers that stopped short of the end of large bodies, or sent trailers without end, exhausted the memory of a router.

Each reader claims bytes before it parses them. Without room, the oldest body that has been arriving for at least 1 s is given up, otherwise the request that asks is refused; both get 503 overloaded before the request is planned. The reader hands the parser at most the limit of a head at a time, so that trailers and chunk extensions over it are refused with 431. A connection whose body is being read counts as busy in a planned stop.

The only change to CallerReaderFuzzTest is the new constructor argument.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -17,11 +17,12 @@
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services,
-                                   const DrainState& drain)
+                                   HeldMemory& memory, const DrainState& drain)
     : stream_(std::move(socket)),
       services_(services),
+      memory_(memory),
       drain_(drain),
-      reader_(stream_, services.protocol, services.clock) {
+      reader_(stream_, services.protocol, services.clock, memory) {
   ConfigureSocket(stream_.socket(), kCallerTimeout);
   ++services_.counters.open_connections;
 }
@@ -32,6 +33,11 @@
   if (!busy()) stream_.close();
 }
 
+void CallerConnection::Evict() {
+  evicted_ = true;
+  stream_.close();
+}
+
 void CallerConnection::Abort() {
   if (exchange_ != nullptr) {
     exchange_->OnStopping();
@@ -84,7 +90,8 @@
   ++services_.counters.open_requests;
   AnswerWriter writer(stream_);
   writer.set_keep_alive(read.keep_alive && drain_.phase == DrainPhase::kOpen);
-  RequestExchange exchange(services_, stream_.get_executor(), writer, std::move(read.request));
+  RequestExchange exchange(services_, memory_, stream_.get_executor(), writer,
+                           std::move(read.request));
   auto monitor =
       MakeRef<DisconnectMonitor>(stream_.socket(), [&exchange] { exchange.OnCallerClosed(); });
   monitor->Start();
--- a/src/bamboodock/command/router/caller_connection.h
+++ b/src/bamboodock/command/router/caller_connection.h
@@ -30,7 +30,7 @@
                          public boost::intrusive::list_base_hook<
                              boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
-  CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services,
+  CallerConnection(asio::ip::tcp::socket socket, NetworkServices& services, HeldMemory& memory,
                    const DrainState& drain);
   ~CallerConnection();
 
@@ -46,7 +46,11 @@
   /// still being read is dropped.
   void Abort();
   /// Whether a request is being read or served.
-  bool busy() const { return !ended_ && (busy_ || reader_.HasBytes()); }
+  bool busy() const { return !ended_ && (busy_ || reader_.reading_body() || reader_.HasBytes()); }
+  /// Closes the connection to admit another one.
+  void Evict();
+  /// Whether no request is being served and the head of the next one has not been read.
+  bool evictable() const { return !ended_ && !evicted_ && !busy_ && !reader_.reading_body(); }
 
  private:
   asio::awaitable<void> ServeAll();
@@ -55,6 +59,7 @@
 
   beast::tcp_stream stream_;
   NetworkServices& services_;
+  HeldMemory& memory_;
   const DrainState& drain_;
   CallerReader reader_;
   /// Request that is being served; null between requests.
@@ -62,10 +67,11 @@
   /// Writer of its answer.
   AnswerWriter* writer_ = nullptr;
   bool busy_ = false;
+  bool evicted_ = false;
   bool ended_ = false;
 };
 
-/// Unordered list of connections; a connection unlinks itself when it is destroyed.
+/// List of connections; a connection unlinks itself when it is destroyed.
 using CallerConnectionList =
     boost::intrusive::list<CallerConnection, boost::intrusive::constant_time_size<false>>;
 
--- a/src/bamboodock/command/router/caller_reader.cc
+++ b/src/bamboodock/command/router/caller_reader.cc
@@ -1,5 +1,7 @@
 #include "bamboodock/command/router/caller_reader.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/predicate.hpp>
@@ -12,7 +14,6 @@
 namespace {
 
 namespace http = boost::beast::http;
-using RequestParser = http::request_parser<http::string_body>;
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kReadSize = 16384;
@@ -21,6 +22,8 @@
 /// Idle connections stay open a little longer than the configured timeout, so that a request that
 /// is sent just in time does not race with the close.
 constexpr double kIdleFactor = 1.3;
+/// Uploads that are old enough to be given up make room by then.
+constexpr std::chrono::milliseconds kRetryAfterMemory = UploadQueue::kMinAge;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 CallerRead Refused(ResultCode code, std::string detail) {
@@ -60,6 +63,7 @@
 
 ResultCode BodyErrorCode(const SocketError& error) {
   if (error == http::error::body_limit) return ResultCode::kBodyTooLarge;
+  if (error == http::error::header_limit) return ResultCode::kHeaderTooLarge;
   if (error == beast::error::timeout) return ResultCode::kHeaderTimeout;
   return ResultCode::kBadRequest;
 }
@@ -105,7 +109,11 @@
                                                    std::size_t& head_size) {
   const std::chrono::duration<double> idle(limits.idle_timeout);
   MonotonicTime head_deadline = MonotonicTime::max();
-  while ((head_size = FindHeadEnd()) == 0) {
+  while (true) {
+    const bool room = co_await memory_.Grow(claim(), Bytes(buffer_.size()));
+    if (!room) co_return RefuseForMemory();
+    head_size = FindHeadEnd();
+    if (head_size > 0) break;
     if (BufferText(buffer_).size() > limits.header.value()) {
       co_return Refused(ResultCode::kHeaderTooLarge, "request head exceeds the configured limit");
     }
@@ -131,7 +139,74 @@
   co_return read;
 }
 
+bool CallerReader::ParseBody(const CallerLimits& limits, RequestParser& parser,
+                             SocketError& error) {
+  const std::size_t size = std::min<std::size_t>(buffer_.size(), limits.header.value());
+  if (size == 0) return false;
+  const std::size_t used = parser.put(asio::buffer(buffer_.data(), size), error);
+  buffer_.consume(used);
+  if (error == http::error::need_more) error = {};
+  if (!error && used == 0 && size == limits.header.value()) error = http::error::header_limit;
+  return used > 0;
+}
+
+asio::awaitable<SocketError> CallerReader::ReadMoreBody(MonotonicTime deadline) {
+  if (!given_up_) {
+    const SocketError error = co_await ReadMore(
+        std::max<Duration>(deadline - clock_.Now(), std::chrono::milliseconds(1)));
+    if (error != asio::error::operation_aborted || !given_up_) co_return error;
+  }
+  SocketError error;
+  if (stream_.socket().available(error) == 0) co_return asio::error::operation_aborted;
+  const std::size_t size = stream_.socket().read_some(buffer_.prepare(kReadSize), error);
+  buffer_.commit(size);
+  co_return error;
+}
+
+asio::awaitable<CallerRead> CallerReader::ReadBody(const CallerLimits& limits,
+                                                   std::size_t head_size, RequestParser& parser) {
+  const MonotonicTime deadline = clock_.Now() + kBodyTimeout;
+  parser.eager(true);
+  while (!parser.is_done()) {
+    const Bytes held(head_size + parser.get().body().size() + buffer_.size());
+    const bool room = co_await memory_.Grow(claim(), held);
+    if (!room) co_return RefuseForMemory();
+    SocketError error;
+    const bool progress = ParseBody(limits, parser, error);
+    if (!error && !progress && !parser.is_done()) {
+      error = co_await ReadMoreBody(deadline);
+      if (given_up_ && error == asio::error::operation_aborted) {
+        ++memory_.counters().uploads_given_up;
+        co_return RefuseForMemory();
+      }
+    }
+    if (error && IsDisconnect(error)) co_return Ended();
+    if (error) co_return Refused(BodyErrorCode(error), "cannot read body: " + error.message());
+  }
+  CallerRead whole;
+  co_return whole;
+}
+
+void CallerReader::GiveUp() {
+  given_up_ = true;
+  stream_.cancel();
+}
+
+CallerRead CallerReader::RefuseForMemory() {
+  MemoryBudget& budget = memory_.budget();
+  std::string detail =
+      fmt::format("no memory is left for the request: given_up={} size={} held={} limit={}",
+                  given_up_, claim().size().value(), budget.held().value(), budget.limit().value());
+  claim().Release();
+  ++memory_.counters().refused_for_memory;
+  CallerRead read = Refused(ResultCode::kOverloaded, std::move(detail));
+  read.refusal.retry_after = kRetryAfterMemory;
+  return read;
+}
+
 asio::awaitable<CallerRead> CallerReader::Read(CallerLimits limits) {
+  claim().Release();
+  given_up_ = false;
   std::size_t head_size = 0;
   CallerRead read = co_await ReadHead(limits, head_size);
   if (!read.keep_alive) co_return read;
@@ -172,13 +247,15 @@
   if (!parser.is_done() && boost::algorithm::iequals(head[http::field::expect], "100-continue")) {
     co_await asio::async_write(stream_, asio::buffer(kContinue), CaptureError(error));
   }
-  if (!error && !parser.is_done()) {
-    co_await http::async_read(stream_, buffer_, parser, CaptureError(error));
-  }
-  if (error && IsDisconnect(error)) {
-    co_return Ended();
+  if (error) co_return Ended();
+  if (!parser.is_done()) {
+    memory_.uploads().Add(*this, clock_.Now());
+    reading_body_ = true;
+    CallerRead body = co_await ReadBody(limits, head_size, parser);
+    reading_body_ = false;
+    UploadQueue::Remove(*this);
+    if (!body.keep_alive) co_return body;
   }
-  if (error) co_return Refused(BodyErrorCode(error), "cannot read body: " + error.message());
   request->body = std::move(parser.get().body());
   read.request = std::move(request);
   co_return read;
--- a/src/bamboodock/command/router/caller_reader.h
+++ b/src/bamboodock/command/router/caller_reader.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <optional>
 #include <string_view>
 
+#include "bamboodock/command/router/held_memory.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/core/failure.h"
 #include "bamboodock/routing/caller_request.h"
@@ -31,26 +33,52 @@
 ///
 /// If two parsers can disagree about the length of a request, it may smuggle a second one, so such
 /// a request is refused and never repaired.
-class CallerReader {
+///
+/// The bytes of a request are claimed from the memory of the network duty before they are parsed,
+/// and stay claimed until the next request is read or the reader is destroyed. Without room for
+/// them the request is refused as not run.
+class CallerReader final : public Upload {
  public:
-  CallerReader(beast::tcp_stream& stream, const WireProtocol& protocol, const Clock& clock)
-      : stream_(stream), protocol_(protocol), clock_(clock) {}
+  CallerReader(beast::tcp_stream& stream, const WireProtocol& protocol, const Clock& clock,
+               HeldMemory& memory)
+      : Upload(memory.budget()),
+        stream_(stream),
+        protocol_(protocol),
+        clock_(clock),
+        memory_(memory) {}
 
   /// Reads the next request. Waits up to 1.3 times the idle timeout for its first byte, then up to
   /// the header timeout for its head and 10 s for its body.
   asio::awaitable<CallerRead> Read(CallerLimits limits);
   /// Whether unread bytes of a request have arrived.
   bool HasBytes() const { return buffer_.size() > 0; }
+  /// Whether the body of a request is being read, some of which may have been parsed already.
+  bool reading_body() const { return reading_body_; }
+  void GiveUp() override;
 
  private:
+  using RequestParser = beast::http::request_parser<beast::http::string_body>;
+
   asio::awaitable<CallerRead> ReadHead(const CallerLimits& limits, std::size_t& head_size);
+  asio::awaitable<CallerRead> ReadBody(const CallerLimits& limits, std::size_t head_size,
+                                       RequestParser& parser);
+  /// Parses what is buffered; returns whether some of it was used. Bytes that the parser does not
+  /// use, which are trailers or a chunk extension, may reach the limit of a head.
+  bool ParseBody(const CallerLimits& limits, RequestParser& parser, SocketError& error);
+  /// Waits for further bytes of a body. Those that had arrived when the body was given up are read,
+  /// since they may be its end.
+  asio::awaitable<SocketError> ReadMoreBody(MonotonicTime deadline);
+  CallerRead RefuseForMemory();
   std::size_t FindHeadEnd();
   asio::awaitable<SocketError> ReadMore(Duration timeout);
 
   beast::tcp_stream& stream_;
   const WireProtocol& protocol_;
   const Clock& clock_;
+  HeldMemory& memory_;
   beast::flat_buffer buffer_;
+  bool reading_body_ = false;
+  bool given_up_ = false;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -30,6 +30,8 @@
   kSilent,
   /// The answer exceeds one of `AnswerLimits`.
   kTooLarge,
+  /// The entry has no memory left for the answer.
+  kNoMemory,
   /// `Cancel` was called.
   kCancelled,
 };
--- a/src/bamboodock/command/router/network_duty.cc
+++ b/src/bamboodock/command/router/network_duty.cc
@@ -1,5 +1,6 @@
 #include "bamboodock/command/router/network_duty.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,8 +14,6 @@
 
 constexpr std::size_t kInboxCapacity = 4096;
 constexpr int kBacklog = 1024;
-/// Limit of open caller connections; each may hold a second socket to an endpoint.
-constexpr std::uint64_t kMaxConnections = 1800;
 constexpr std::chrono::seconds kReadinessIdleTimeout{10};
 constexpr std::chrono::seconds kReadinessWriteTimeout{2};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
@@ -23,6 +22,7 @@
 
 NetworkDuty::NetworkDuty(const Address& callers, const Address& readiness, NetworkServices services)
     : services_(std::move(services)),
+      memory_(services_.capacity.HeldBytesLimit(), services_.clock, services_.counters),
       inbox_(loop_, kInboxCapacity,
              [](PlannedAttempt& planned) { planned.receiver->OnPlan(std::move(planned.answer)); }),
       caller_acceptor_(loop_, ToEndpoint(callers)),
@@ -95,16 +95,27 @@
       co_await pause.async_wait(CaptureError(error));
       continue;
     }
-    if (services_.counters.open_connections >= kMaxConnections) {
+    const bool full = services_.counters.open_connections >= services_.capacity.ConnectionLimit();
+    if (full && !EvictConnection()) {
       services_.log.Write(Event::kCallerRejected, RequestId(), "connection limit reached");
       continue;
     }
-    auto connection = MakeRef<CallerConnection>(std::move(socket), services_, drain_);
+    auto connection = MakeRef<CallerConnection>(std::move(socket), services_, memory_, drain_);
     connections_.push_back(*connection);
     asio::co_spawn(loop_, CallerConnection::Run(std::move(connection)), asio::detached);
   }
 }
 
+bool NetworkDuty::EvictConnection() {
+  const auto found =
+      std::find_if(connections_.begin(), connections_.end(),
+                   [](const CallerConnection& connection) { return connection.evictable(); });
+  if (found == connections_.end()) return false;
+  found->Evict();
+  ++services_.counters.connections_evicted;
+  return true;
+}
+
 bool NetworkDuty::IsReady() const {
   return drain_.phase == DrainPhase::kOpen &&
          services_.clock.Now() < services_.status()->ready_until;
--- a/src/bamboodock/command/router/network_duty.h
+++ b/src/bamboodock/command/router/network_duty.h
@@ -47,15 +47,20 @@
   asio::awaitable<void> AcceptCallers();
   asio::awaitable<void> AcceptReadiness();
   asio::awaitable<void> ServeReadiness(asio::ip::tcp::socket socket);
+  /// Closes a connection without a request in progress; false when there is none.
+  bool EvictConnection();
   bool IsReady() const;
   void NotifyIfIdle();
 
-  asio::io_context loop_{1};
+  /// The coroutines that the loop destroys with itself use the two members before it.
   NetworkServices services_;
+  HeldMemory memory_;
+  asio::io_context loop_{1};
   RingInbox<PlannedAttempt> inbox_;
   asio::ip::tcp::acceptor caller_acceptor_;
   asio::ip::tcp::acceptor readiness_acceptor_;
   DrainState drain_;
+  /// In the order in which they were accepted.
   CallerConnectionList connections_;
   std::mutex idle_mutex_;
   std::condition_variable idle_changed_;
--- a/src/bamboodock/command/router/network_services.h
+++ b/src/bamboodock/command/router/network_services.h
@@ -7,6 +7,7 @@
 #include "bamboodock/command/router/router_counters.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
+#include "bamboodock/policy/host_capacity.h"
 #include "bamboodock/policy/model_escalation.h"
 #include "bamboodock/query/router/router_status.h"
 #include "bamboodock/routing/wire_protocol.h"
@@ -25,6 +26,7 @@
   std::function<bool(RouteCommand)> post;
   /// Returns the latest status; never null.
   std::function<Ref<const RouterStatus>()> status;
+  HostCapacity capacity = {};
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kPlanTimeout{1500};
 /// A request is refused after more attempts than this that did not run.
 constexpr std::uint32_t kMaxNotRun = 4;
+/// Usual events are smaller, so that a stream of them goes on when no memory is left.
+constexpr Bytes kUnclaimedEvent{16384};
 constexpr std::chrono::milliseconds kRetryAfterFailure{250};
 /// Delay after which another entry can take a request that this one ends because it stops.
 constexpr std::chrono::milliseconds kRetryAfterStop{100};
@@ -43,6 +45,8 @@
       return AttemptOutcome::kUnreachable;
     case CallStatus::kSilent:
       return AttemptOutcome::kSilent;
+    case CallStatus::kNoMemory:
+      // Says nothing about the endpoint.
     case CallStatus::kCancelled:
       return AttemptOutcome::kCancelled;
     default:
@@ -52,14 +56,17 @@
 
 }  // namespace
 
-RequestExchange::RequestExchange(NetworkServices& services, asio::any_io_executor executor,
-                                 AnswerWriter& writer, Ref<const CallerRequest> request)
+RequestExchange::RequestExchange(NetworkServices& services, HeldMemory& memory,
+                                 asio::any_io_executor executor, AnswerWriter& writer,
+                                 Ref<const CallerRequest> request)
     : services_(services),
+      memory_(memory),
       executor_(std::move(executor)),
       writer_(writer),
       request_(std::move(request)),
       deadline_(RequestDeadline(*request_, nullptr)),
-      attempt_(request_->arrived) {
+      attempt_(request_->arrived),
+      endpoint_failure_claim_(memory.budget()) {
   events_.set_last_id(request_->metadata.last_event);
 }
 
@@ -222,7 +229,8 @@
 }
 
 void RequestExchange::CountOverLimit(CallStatus status) {
-  if (status == CallStatus::kTooLarge) ++services_.counters.answers_over_limit;
+  const bool over_limit = status == CallStatus::kTooLarge || status == CallStatus::kNoMemory;
+  if (over_limit) ++services_.counters.answers_over_limit;
 }
 
 void RequestExchange::ReleaseUnsent(const AttemptPlan& plan) {
@@ -410,10 +418,12 @@
   co_return co_await RelayBuffered(plan, std::move(head));
 }
 
-asio::awaitable<CallStatus> RequestExchange::ReadFullBody(std::string& body) {
+asio::awaitable<CallStatus> RequestExchange::ReadFullBody(std::string& body, MemoryClaim& claim) {
   while (true) {
     const auto wait = AtLeastOneMs(TimeLeft());
     const BodyChunk chunk = co_await call_->Read(wait);
+    const bool room = co_await memory_.Grow(claim, Bytes(body.size() + chunk.bytes.size()));
+    if (!room) co_return CallStatus::kNoMemory;
     body += chunk.bytes;
     if (chunk.status == CallStatus::kEnd) co_return CallStatus::kOk;
     if (chunk.status != CallStatus::kOk) co_return chunk.status;
@@ -424,7 +434,8 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::OnFailureAnswer(const AttemptPlan& plan,
                                                                           AnswerHead head) {
   std::string body;
-  const CallStatus status = co_await ReadFullBody(body);
+  MemoryClaim claim(memory_.budget());
+  const CallStatus status = co_await ReadFullBody(body, claim);
   call_->Cancel();
   CountOverLimit(status);
   const bool server_error = head.status >= 500;
@@ -432,7 +443,10 @@
          fmt::format("status {}", head.status));
   if (IsAbandoned() && status != CallStatus::kOk) co_return Action::Retry(PlanReason::kFailed);
   if (caller_closed_) co_return Action::Retry(PlanReason::kFailed);
-  if (status == CallStatus::kOk) endpoint_failure_.emplace(std::move(head), std::move(body));
+  if (status == CallStatus::kOk) {
+    endpoint_failure_.emplace(std::move(head), std::move(body));
+    endpoint_failure_claim_ = std::move(claim);
+  }
   if (writer_.begun()) {
     co_return co_await RetryOrFail(PlanReason::kResume, ResultCode::kEndpointFailed);
   }
@@ -448,10 +462,17 @@
 asio::awaitable<RequestExchange::Action> RequestExchange::RelayBuffered(const AttemptPlan& plan,
                                                                         AnswerHead head) {
   std::string body;
-  const CallStatus status = co_await ReadFullBody(body);
+  MemoryClaim claim(memory_.budget());
+  const CallStatus status = co_await ReadFullBody(body, claim);
   call_->Cancel();
   if (status != CallStatus::kOk) {
     ReportFailed(plan, status, "answer body incomplete or over the size limit");
+    if (status == CallStatus::kNoMemory && !IsAbandoned()) {
+      Failure failure{
+          ResultCode::kAnswerIncomplete, "no memory is left for the answer", RunState::kRan, {}};
+      const bool reusable = co_await Refuse(std::move(failure));
+      co_return Action::Finished(reusable);
+    }
     co_return co_await RetryOrFail(PlanReason::kFailed, ResultCode::kAnswerIncomplete);
   }
   attempt_.framed_end = call_->HasFraming();
@@ -496,6 +517,7 @@
 
 asio::awaitable<CallStatus> RequestExchange::RelayEvents(const AttemptPlan& plan) {
   events_.DropPartial();
+  MemoryClaim claim(memory_.budget());
   // Bytes that complete no event do not count as progress: a stalled endpoint may send some now and
   // then.
   MonotonicTime idle_since = services_.clock.Now();
@@ -514,6 +536,10 @@
     const std::uint64_t before = events_.taken();
     std::string events = events_.Take();
     if (events_.partial_size() > services_.answer_limits.event) co_return CallStatus::kTooLarge;
+    if (events_.partial_size() > kUnclaimedEvent) {
+      const bool room = co_await memory_.Grow(claim, events_.partial_size());
+      if (!room) co_return CallStatus::kNoMemory;
+    }
     if (!events.empty()) idle_since = services_.clock.Now();
     if (attempt_.OnEvents(events_.taken() - before, services_.clock.Now())) ReportUnderWay(plan);
     bool sent = true;
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -7,6 +7,7 @@
 #include "bamboodock/command/router/answer_writer.h"
 #include "bamboodock/command/router/attempt_record.h"
 #include "bamboodock/command/router/endpoint_call.h"
+#include "bamboodock/command/router/held_memory.h"
 #include "bamboodock/command/router/network_services.h"
 #include "bamboodock/command/router/pending_plan.h"
 #include "bamboodock/policy/attempt_timeouts.h"
@@ -19,8 +20,8 @@
 /// idempotent is sent again only when the endpoint states that it did not run it.
 class RequestExchange {
  public:
-  RequestExchange(NetworkServices& services, asio::any_io_executor executor, AnswerWriter& writer,
-                  Ref<const CallerRequest> request);
+  RequestExchange(NetworkServices& services, HeldMemory& memory, asio::any_io_executor executor,
+                  AnswerWriter& writer, Ref<const CallerRequest> request);
 
   /// Serves the request; returns whether the caller's connection can be reused.
   asio::awaitable<bool> Run();
@@ -72,8 +73,8 @@
                                                               const AnswerHead& head);
   asio::awaitable<CallStatus> RelayEvents(const AttemptPlan& plan);
   asio::awaitable<Action> EndStream(const AttemptPlan& plan, CallStatus status);
-  /// Reads the rest of the body into memory, up to its size limit.
-  asio::awaitable<CallStatus> ReadFullBody(std::string& body);
+  /// Reads the rest of the body into memory, up to its size limit and as far as the claim can grow.
+  asio::awaitable<CallStatus> ReadFullBody(std::string& body, MemoryClaim& claim);
   asio::awaitable<Action> RetryOrFail(PlanReason reason, ResultCode code);
   asio::awaitable<bool> Refuse(Failure failure);
   asio::awaitable<bool> RefuseExpired();
@@ -103,6 +104,7 @@
   void LogEnd(Event event, int status, std::string_view detail);
 
   NetworkServices& services_;
+  HeldMemory& memory_;
   asio::any_io_executor executor_;
   AnswerWriter& writer_;
   Ref<const CallerRequest> request_;
@@ -125,6 +127,7 @@
   std::optional<AttemptPlan> planned_;
   /// Last error answer of an endpoint, delivered if no other endpoint succeeds.
   std::optional<std::pair<AnswerHead, std::string>> endpoint_failure_;
+  MemoryClaim endpoint_failure_claim_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -30,6 +30,15 @@
   std::atomic<std::uint64_t> answers_draining{0};
   /// Attempts whose request could not be written whole to its endpoint.
   std::atomic<std::uint64_t> request_writes_failed{0};
+  /// Bytes held for callers and endpoints, and their limit.
+  std::atomic<std::uint64_t> held_bytes{0};
+  std::atomic<std::uint64_t> held_bytes_limit{0};
+  /// Requests refused before they were planned, because there was no memory for them.
+  std::atomic<std::uint64_t> refused_for_memory{0};
+  /// Those of them whose body had been arriving for a while.
+  std::atomic<std::uint64_t> uploads_given_up{0};
+  /// Connections closed to admit others.
+  std::atomic<std::uint64_t> connections_evicted{0};
   std::atomic<std::uint64_t> open_connections{0};
   std::atomic<std::uint64_t> open_requests{0};
 
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -60,7 +60,7 @@
                     adapters.wire, clock, log, counters,
                     ModelEscalation(settings.limits.least_confidence), settings.answer_limits,
                     [this](RouteCommand command) { return planning.Post(std::move(command)); },
-                    [this] { return planning.status(); }}),
+                    [this] { return planning.status(); }, settings.capacity}),
         peers(
             {settings.host, settings.gossip},
             [this](PeerMessage message) {
--- a/src/bamboodock/command/router/router_process.h
+++ b/src/bamboodock/command/router/router_process.h
@@ -7,6 +7,7 @@
 #include "bamboodock/command/router/router_limits.h"
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/result.h"
+#include "bamboodock/policy/host_capacity.h"
 #include "bamboodock/routing/directory_codec.h"
 #include "bamboodock/routing/store_protocol.h"
 #include "bamboodock/routing/wire_protocol.h"
@@ -14,12 +15,6 @@
 
 namespace bamboodock {
 
-/// What the host grants to the process.
-struct HostCapacity {
-  Bytes memory{std::uint64_t{1024} << 20U};
-  std::uint32_t descriptors = 8192;
-};
-
 /// Settings of a router.
 struct RouterSettings {
   HostId host;
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -34,6 +34,13 @@
     CounterRow{"bamboodock_answers_draining_total", "counter", &RouterCounters::answers_draining},
     CounterRow{"bamboodock_request_writes_failed_total", "counter",
                &RouterCounters::request_writes_failed},
+    CounterRow{"bamboodock_held_bytes", "gauge", &RouterCounters::held_bytes},
+    CounterRow{"bamboodock_held_bytes_limit", "gauge", &RouterCounters::held_bytes_limit},
+    CounterRow{"bamboodock_refused_for_memory_total", "counter",
+               &RouterCounters::refused_for_memory},
+    CounterRow{"bamboodock_uploads_given_up_total", "counter", &RouterCounters::uploads_given_up},
+    CounterRow{"bamboodock_connections_evicted_total", "counter",
+               &RouterCounters::connections_evicted},
     CounterRow{"bamboodock_open_connections", "gauge", &RouterCounters::open_connections},
     CounterRow{"bamboodock_open_requests", "gauge", &RouterCounters::open_requests},
 };
--- a/test/command/router/caller_reader_fuzz_test.cc
+++ b/test/command/router/caller_reader_fuzz_test.cc
@@ -10,6 +10,7 @@
 
 #include "bamboodock/command/router/caller_reader.h"
 #include "bamboodock/core/boot_clock.h"
+#include "bamboodock/policy/host_capacity.h"
 #include "bamboodock/policy/random.h"
 #include "platform/http_wire_protocol.h"
 
@@ -105,7 +106,9 @@
   connection.SendAndEnd(bytes);
   const platform::HttpWireProtocol wire;
   const BootClock clock;
-  CallerReader reader(connection.server_stream, wire, clock);
+  RouterCounters counters;
+  HeldMemory memory(HostCapacity().HeldBytesLimit(), clock, counters);
+  CallerReader reader(connection.server_stream, wire, clock, memory);
   CallerRead read;
   asio::co_spawn(loop, ReadInto(reader, read), asio::detached);
   loop.run();
--- a/test/fakes/planned_router.h
+++ b/test/fakes/planned_router.h
@@ -53,7 +53,8 @@
 /// Network duty whose plans use the endpoints set by the test, one after another.
 class PlannedRouter {
  public:
-  explicit PlannedRouter(Route route) : network_({"127.0.0.1", 0}, {"127.0.0.1", 0}, Services()) {
+  explicit PlannedRouter(Route route, HostCapacity capacity = {})
+      : network_({"127.0.0.1", 0}, {"127.0.0.1", 0}, Services(capacity)) {
     route_ = std::move(route);
     service_.id = ServiceId("s1");
     network_.Start();
@@ -90,7 +91,7 @@
   }
 
  private:
-  NetworkServices Services() {
+  NetworkServices Services(HostCapacity capacity) {
     return {wire_,
             clock_,
             log_,
@@ -98,7 +99,8 @@
             ModelEscalation({60}),
             AnswerLimits(),
             [this](RouteCommand command) { return Receive(std::move(command)); },
-            [] { return Ref<const RouterStatus>(MakeRef<RouterStatus>()); }};
+            [] { return Ref<const RouterStatus>(MakeRef<RouterStatus>()); },
+            capacity};
   }
 
   bool Receive(RouteCommand command) {
