--- a/src/bamboodock/command/router/router_counters.h
+++ b/src/bamboodock/command/router/router_counters.h
@@ -37,6 +37,15 @@
   static constexpr std::size_t kModelPositions = 4;
   std::array<std::atomic<std::uint64_t>, kModelPositions> answers_by_model{};
   std::array<std::atomic<std::uint64_t>, kModelPositions> confidence_sum{};
+  /// Bytes held for callers and endpoints, and their limit.
+  std::atomic<std::uint64_t> held_bytes{0};
+  std::atomic<std::uint64_t> held_bytes_limit{0};
+  /// Requests refused before they were planned, because there was no memory for them.
+  std::atomic<std::uint64_t> refused_for_memory{0};
+  /// Those of them whose body had been arriving for a while.
+  std::atomic<std::uint64_t> uploads_given_up{0};
+  /// Connections closed to admit others.
+  std::atomic<std::uint64_t> connections_evicted{0};
   std::atomic<std::uint64_t> open_connections{0};
   std::atomic<std::uint64_t> open_requests{0};
 
