--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -93,6 +93,8 @@
   kPromptPartProbed = 730,
   kRemovalDeferred = 731,
   kRateLimitChanged = 732,
+  kRequestWaits = 733,
+  kRequestWoken = 734,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
