Queue requests in front of full services instead of polling

Cause: a request that could not be planned asked again every 50 ms, and one for a full service was sent to a full endpoint, in no order.

Change: WaitingPlans holds a queue for each service. RouteState::PlanOrWait returns nothing for a request that waits, and TakeWoken the answers that have become due; the planning duty posts them after each command and at the next due time. A caller that leaves takes its request out of the queue, and a plan that is on its way then is released.

--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -28,10 +28,18 @@
   PlanningDuty(RouteState state, PlanningOutputs outputs, EventLog& log);
   ~PlanningDuty() { Stop(); }
 
+  /// Handles the queued commands and ends the thread. Requests that still wait get no answer.
+  void Stop() {
+    Duty::Stop();
+    state_.DropWaiting();
+  }
+
   Ref<const RouterStatus> status() const { return status_.Load(); }
 
   void Handle(RouteCommand& command);
   MonotonicTime Tick();
+  /// When the next waiting request has to be looked at.
+  MonotonicTime NextDue() const;
 
  private:
   void On(PlanQuery& query);
@@ -40,12 +48,17 @@
     state_.Apply(change);
     PublishStatus();
   }
+  void On(PlanCancellation& cancelled) { state_.Apply(cancelled); }
   void On(HeadReport& report) { state_.Apply(report); }
   void On(UnderWayReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
   void On(PromptReport& report) { state_.Apply(report); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
   void On(RateLimitReport& report) { state_.Apply(report); }
+  void PostPlan(const RequestId& request, PlannedAttempt planned);
+  /// Posts the answers of the requests that do not wait any longer.
+  void PostWoken();
+  void DoPeriodicWork();
   void PublishStatus();
   void ReportDroppedLines();
 
@@ -54,6 +67,7 @@
   EventLog& log_;
   SnapshotCell<RouterStatus> status_;
   bool ready_ = false;
+  MonotonicTime next_periodic_work_{};
   /// Number of dropped log lines already reported.
   std::uint64_t reported_drops_ = 0;
 };
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -31,6 +31,11 @@
   Ref<PlanReceiver> receiver;
 };
 
+/// States that the answer to a `PlanQuery` is not needed any more.
+struct PlanCancellation {
+  Ref<PlanReceiver> receiver;
+};
+
 /// Answer to a `PlanQuery` with its receiver.
 struct PlannedAttempt {
   Ref<PlanReceiver> receiver;
@@ -81,8 +86,8 @@
   PromptFate fate = PromptFate::kUnderWay;
 };
 
-using RouteCommand =
-    std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport, PromptReport, OperatorDelta,
-                 EndpointDelta, RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
+using RouteCommand = std::variant<PlanQuery, PlanCancellation, HeadReport, UnderWayReport,
+                                  AttemptReport, PromptReport, OperatorDelta, EndpointDelta,
+                                  RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -11,8 +11,10 @@
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_limits.h"
 #include "bamboodock/command/router/session_pins.h"
+#include "bamboodock/command/router/waiting_plans.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
+#include "bamboodock/policy/attempt_timeouts.h"
 #include "bamboodock/policy/model_escalation.h"
 #include "bamboodock/policy/random.h"
 #include "bamboodock/policy/repeat_budget.h"
@@ -31,13 +33,26 @@
 ///
 /// Holds all state that decisions depend on. Used on the planning duty's thread only; the clock and
 /// the random generator are passed in.
-class RouteState {
+class RouteState : private FirstPlanner {
  public:
   RouteState(RouterIdentity identity, const RouterLimits& limits, const Clock& clock, Random random,
              EventLog& log);
 
   /// Plans the next attempt of a request, or states why there is none.
   PlanAnswer Plan(const PlanQuery& query);
+  /// The same, but empty when the query is for a first attempt that has to wait; `TakeWoken` then
+  /// returns the answer when it is due.
+  std::optional<PlanAnswer> PlanOrWait(const PlanQuery& query);
+  /// Answers of the requests that do not wait any longer. To be called after each change and when
+  /// `next_wake` is reached.
+  std::vector<PlannedAttempt> TakeWoken();
+  MonotonicTime next_wake() const { return waiting_.next_due(); }
+  MonotonicTime Now() const { return clock_.Now(); }
+  WaitingStatus waiting() const { return waiting_.Status(clock_.Now()); }
+  /// Drops the requests that wait, for use when the process ends.
+  void DropWaiting() { waiting_.Clear(); }
+
+  void Apply(const PlanCancellation& cancelled) { waiting_.Cancel(*cancelled.receiver); }
   void Apply(const HeadReport& report);
   void Apply(const UnderWayReport& report);
   void Apply(const AttemptReport& report);
@@ -85,14 +100,19 @@
     Ratio subset_share{1.0};
   };
 
-  PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail) const;
-  PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail,
-                    Duration retry_after) const;
+  PlanAnswer Decide(const PlanQuery& query, HoldRule hold) override;
+  std::optional<WaitTerms> TermsOfWaiting(const PlanQuery& query,
+                                          const PlanAnswer& answer) override;
+  /// Whether a request is held back for want of a free slot.
+  bool IsHeld(const EndpointRequirements& requirements, HoldRule hold, MonotonicTime now);
+  PlanAnswer Refuse(ResultCode code, std::string detail) const;
+  PlanAnswer Refuse(ResultCode code, std::string detail, Duration retry_after) const;
+  void LogRefusal(const PlanQuery& query, const Failure& refusal) const;
   /// Refuses a request for which no endpoint can be chosen.
-  PlanAnswer RefuseWithoutEndpoint(const PlanQuery& query, const RequestProgress& progress,
+  PlanAnswer RefuseWithoutEndpoint(const RequestProgress& progress,
                                    const EndpointRequirements& requirements);
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
-  PlanAnswer ChooseAttempt(const PlanQuery& query, RequestProgress progress);
+  PlanAnswer ChooseAttempt(const PlanQuery& query, RequestProgress progress, HoldRule hold);
   VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
   VersionChoice ChooseRolloutVersion(const PlanQuery& query, const RequestProgress& progress,
                                      const RolloutOrder& order);
@@ -134,6 +154,8 @@
   ModelEscalation escalation_;
   StreamPace pace_;
   PromptGuard prompts_;
+  WaitingPlans waiting_;
+  AttemptTimeouts timeouts_;
   std::map<ServiceId, RepeatBudget> budgets_;
   /// Active version by service when there is no rollout.
   std::map<ServiceId, VersionId> baseline_;
--- a/src/bamboodock/policy/drain_rate.h
+++ b/src/bamboodock/policy/drain_rate.h
@@ -20,7 +20,7 @@
  public:
   static constexpr std::chrono::seconds kSmoothing{2};
   /// Weight of the ends, each of which counts 1 at first, below which the rate is not known.
-  static constexpr double kMinWeight = 2;
+  static constexpr double kMinWeight = 4;
 
   /// Records that an attempt has ended.
   void OnFreed(MonotonicTime now) {
--- a/src/bamboodock/policy/return_schedule.h
+++ b/src/bamboodock/policy/return_schedule.h
@@ -22,7 +22,7 @@
 /// delay the others.
 class ReturnSchedule {
  public:
-  /// Session of an account; both may be empty.
+  /// Session of an account, or the id of a request without a session.
   using Caller = std::pair<ClientAccountId, SessionId>;
 
   static constexpr std::size_t kMaxCallers = 512;
@@ -37,10 +37,8 @@
     Prune(now);
     const auto known = times_.find(caller);
     if (known != times_.end()) {
-      // All anonymous callers without a session look alike.
-      const bool is_same = caller != Caller();
-      if (is_same && known->second.at > now) return known->second.at - now;
-      known->second.at = std::max(known->second.at, now + retry_after);
+      if (known->second.at > now) return known->second.at - now;
+      known->second.at = now + retry_after;
     } else if (times_.size() < kMaxCallers) {
       times_.emplace(caller, Times{now, now + retry_after});
     }
@@ -51,7 +49,7 @@
   /// then no longer expected.
   std::optional<MonotonicTime> Redeem(const Caller& caller, MonotonicTime now) {
     const auto known = times_.find(caller);
-    if (known == times_.end() || caller == Caller()) return std::nullopt;
+    if (known == times_.end()) return std::nullopt;
     const Times times = known->second;
     if (now < times.at - kTolerance) return std::nullopt;
     times_.erase(known);
--- a/src/bamboodock/policy/waiting_queue.cc
+++ b/src/bamboodock/policy/waiting_queue.cc
@@ -64,6 +64,7 @@
   Level& level = levels_[request.priority];
   Account& account = AccountOf(level, request.account);
   Session& session = SessionOf(account, request.session);
+  expiries_.insert(request.latest_start);
   session.requests.push_back(std::move(request));
   ++account.size;
   ++level.size;
@@ -89,6 +90,7 @@
 WaitingRequest WaitingQueue::Take(Level& level, std::list<Account>::iterator account,
                                   Position position) {
   WaitingRequest request = std::move(*position.request);
+  expiries_.erase(expiries_.find(request.latest_start));
   position.session->requests.erase(position.request);
   if (position.session->requests.empty()) {
     account->sessions.erase(position.session);
@@ -157,11 +159,13 @@
   ++account.size;
   ++level.size;
   ++size_;
+  expiries_.insert(request.latest_start);
   session.requests.push_front(std::move(request));
 }
 
 std::vector<WaitingRequest> WaitingQueue::Expire(MonotonicTime now) {
   std::vector<WaitingRequest> expired;
+  if (expiries_.empty() || *expiries_.begin() > now) return expired;
   ForEach([&](const WaitingRequest& request) {
     if (request.latest_start <= now) expired.push_back(request);
   });
@@ -199,14 +203,6 @@
   return ahead;
 }
 
-std::optional<MonotonicTime> WaitingQueue::NextExpiry() const {
-  std::optional<MonotonicTime> next;
-  ForEach([&](const WaitingRequest& request) {
-    next = next ? std::min(*next, request.latest_start) : request.latest_start;
-  });
-  return next;
-}
-
 void WaitingQueue::ForEach(const std::function<void(const WaitingRequest&)>& visit) const {
   for (const auto& [priority, level] : levels_) {
     for (const Account& account : level.accounts) {
--- a/src/bamboodock/policy/waiting_queue.h
+++ b/src/bamboodock/policy/waiting_queue.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "bamboodock/core/ids.h"
@@ -75,7 +76,9 @@
   /// Number of requests that would be served before a new one, if requests take equal work.
   std::size_t Ahead(Priority priority, const ClientAccountId& account) const;
   /// When the first request can no longer be in time; empty for an empty queue.
-  std::optional<MonotonicTime> NextExpiry() const;
+  std::optional<MonotonicTime> NextExpiry() const {
+    return expiries_.empty() ? std::nullopt : std::optional(*expiries_.begin());
+  }
   void ForEach(const std::function<void(const WaitingRequest&)>& visit) const;
   std::size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
@@ -123,6 +126,8 @@
   void EraseEmptyLevels();
 
   std::map<Priority, Level> levels_;
+  /// Latest starts of all requests.
+  std::multiset<MonotonicTime> expiries_;
   std::size_t size_ = 0;
 };
 
--- a/src/bamboodock/query/router/router_status.h
+++ b/src/bamboodock/query/router/router_status.h
@@ -1,11 +1,24 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
+
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/routing/route_table.h"
 
 namespace bamboodock {
 
+/// Requests that wait for an endpoint.
+struct WaitingStatus {
+  std::size_t requests = 0;
+  /// How long the oldest request waits, by priority; the last value is for all lower priorities.
+  std::array<Duration, 4> oldest{};
+  /// Requests refused so far because they could not be in time, and for want of a place.
+  std::uint64_t refused_hopeless = 0;
+  std::uint64_t refused_queue_full = 0;
+};
+
 /// Immutable snapshot of the planning duty's state for readers on other threads.
 struct RouterStatus : RefCounted<RouterStatus> {
   /// Null before the first configuration.
@@ -16,6 +29,7 @@
   std::uint32_t entries = 1;
   std::size_t quarantined_prompt_parts = 0;
   std::size_t rate_limited_endpoints = 0;
+  WaitingStatus waiting;
 };
 
 }  // namespace bamboodock
