--- a/src/bamboodock/policy/waiting_queue.cc
+++ b/src/bamboodock/policy/waiting_queue.cc
@@ -88,7 +88,7 @@
 }
 
 WaitingRequest WaitingQueue::Take(Level& level, std::list<Account>::iterator account,
-                                  Position position) {
+                                  const Position& position) {
   WaitingRequest request = std::move(*position.request);
   expiries_.erase(expiries_.find(request.latest_start));
   position.session->requests.erase(position.request);
--- a/src/bamboodock/policy/waiting_queue.h
+++ b/src/bamboodock/policy/waiting_queue.h
@@ -117,7 +117,7 @@
   /// Takes the next request of those that are eligible, of which there must be one.
   WaitingRequest PopEligible(Level& level, const Predicate& eligible);
   /// Takes the request out and gives the turn to the next session of the account.
-  WaitingRequest Take(Level& level, std::list<Account>::iterator account, Position position);
+  WaitingRequest Take(Level& level, std::list<Account>::iterator account, const Position& position);
   /// Account and session of the request, which are added at the end if they are new.
   Account& AccountOf(Level& level, const ClientAccountId& id);
   static Session& SessionOf(Account& account, const SessionId& id);
