--- a/src/bamboodock/policy/model_choice.h
+++ b/src/bamboodock/policy/model_choice.h
@@ -95,6 +95,13 @@
     return Ratio(std::erfc(-std::log(ratio) / (kTimeSpread * std::numbers::sqrt2)) / 2);
   }
 
+  /// Probability that an answer with this confidence (0 to 100) is good. The confidence is a rough
+  /// opinion of the model itself, so it counts half, beside an even chance.
+  static Ratio GoodProbability(std::uint32_t confidence) {
+    constexpr double kPercent = 100;
+    return Ratio((confidence / kPercent + kEvenChance.value()) / 2);
+  }
+
   /// Whether the answer is likely enough to end before the deadline.
   ///
   /// @param least Probability that it must exceed. With an answer in hand that is the probability
@@ -153,6 +160,9 @@
         const double suffices = probability(i, previous);
         if (!IsWorthwhile(candidates, i, previous, suffices, attempts)) continue;
         const double price = candidates[i].price + (1 - suffices) * after[i];
+        // Each answer that does not suffice delays the caller, so a size between must save clearly.
+        const bool detour = previous && i < last && candidates[last].in_time;
+        if (detour && price > (1 - kLeastSaving) * candidates[last].price) continue;
         if (!best.first || price < best.second) best = {i, price};
       }
       return best;
@@ -187,6 +197,8 @@
   /// Standard deviation of the logarithm of the time of an answer around its estimate.
   static constexpr double kTimeSpread = 0.5;
   static constexpr std::uint32_t kAttemptsForTwoModels = 2;
+  /// Part of the price of the largest model that a size between must be expected to save.
+  static constexpr double kLeastSaving = 0.25;
   /// The price after a model is estimated as if attempts were not limited.
   static constexpr std::uint32_t kManyAttempts = 8;
 
--- a/test/policy/model_choice_test.cc
+++ b/test/policy/model_choice_test.cc
@@ -91,6 +91,7 @@
   void ModelThatCannotEndInTimeIsNotAsked() {
     CPPUNIT_ASSERT(ModelChoice::IsInTime(seconds(19), seconds(20)));
     CPPUNIT_ASSERT(!ModelChoice::IsInTime(seconds(21), seconds(20)));
+    CPPUNIT_ASSERT(ModelChoice::GoodProbability(20) == Ratio(0.35));
     // An answer in hand that is probably bad is worth a greater risk than one that may be good.
     CPPUNIT_ASSERT(ModelChoice::IsInTime(seconds(25), seconds(20), Ratio(0.2)));
     CPPUNIT_ASSERT(!ModelChoice::IsInTime(seconds(25), seconds(20), Ratio(0.6)));
