Leave out the queue in front of full services

An endpoint counts as full by a load report of up to 3 s, far longer than a plain call runs, so requests are held while slots are free.

--- a/src/bamboodock/command/router/caller_connection.cc
+++ b/src/bamboodock/command/router/caller_connection.cc
@@ -31,7 +31,6 @@
 
 void CallerConnection::CloseIfIdle() {
   if (!busy()) stream_.close();
-  if (exchange_ != nullptr) exchange_->OnClosing();
 }
 
 void CallerConnection::Evict() {
--- a/src/bamboodock/command/router/caller_connection.h
+++ b/src/bamboodock/command/router/caller_connection.h
@@ -40,8 +40,7 @@
   void OnDrain() {
     if (writer_ != nullptr) writer_->set_keep_alive(false);
   }
-  /// Closes the connection unless a request is being read or served. A request that waits for its
-  /// first attempt is refused.
+  /// Closes the connection unless a request is being read or served.
   void CloseIfIdle();
   /// Ends the request that is being served with a refusal or a truncated stream. A request that is
   /// still being read is dropped.
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -18,9 +18,6 @@
 constexpr std::chrono::milliseconds kRegistrationLag{1200};
 /// Half-life of a load report, since requests of other entries end after it was made.
 constexpr std::chrono::duration<double> kReportHalfLife{1.5};
-/// An endpoint does not count as full by a load report that is older than this. Answers bring a
-/// report at their head only, so a shorter time would let requests through between two answers.
-constexpr std::chrono::seconds kMaxFullReportAge{3};
 /// A report of pending work expires after this time; reports arrive more often than that.
 constexpr std::chrono::milliseconds kPendingLifetime{1000};
 /// An endpoint with the prompt's shared parts in its cache is preferred while its load is at most
@@ -48,12 +45,6 @@
   return XXH3_64bits_withSeed(id.value().data(), id.value().size(), key);
 }
 
-/// Whether the endpoint holds as many requests as it has slots, by a recent load report.
-bool HoldsAllSlots(const PooledEndpoint& endpoint, MonotonicTime now) {
-  if (now - endpoint.load_reported_at > kMaxFullReportAge) return false;
-  return endpoint.in_flight + endpoint.in_flight_elsewhere >= endpoint.record.slots.value();
-}
-
 bool CountsAsFailure(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kFailure || outcome == AttemptOutcome::kBroken ||
          outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kRefused;
@@ -350,20 +341,6 @@
                                              scores.begin())];
 }
 
-bool EndpointPool::IsFull(const EndpointRequirements& requirements, MonotonicTime now) {
-  const ColdRateLimit cold_limit{requirements.service->cold_rate, cold_overrun_, cold_tolerance_};
-  bool has_full = false;
-  for (auto& [id, endpoint] : endpoints_) {
-    if (!IsUsable(endpoint, requirements) || now < endpoint.backoff_until) continue;
-    if (UnavailableUntil(endpoint) > now || !HasRoom(endpoint, now)) continue;
-    const bool limited = cold_limit.rate.value() > 0 && now < endpoint.cold_until;
-    if (limited && endpoint.recent_sends.Count(now) >= ColdShareOf(endpoint, cold_limit)) continue;
-    if (!HoldsAllSlots(endpoint, now)) return false;
-    has_full = true;
-  }
-  return has_full;
-}
-
 void EndpointPool::OnSend(PooledEndpoint& endpoint, Tokens work, Tokens memory, MonotonicTime now) {
   ++endpoint.in_flight;
   endpoint.memory_used += memory;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -107,9 +107,6 @@
   /// again; empty when none of those that meet the requirements has.
   std::optional<MonotonicTime> FirstAvailableAt(const EndpointRequirements& requirements,
                                                 MonotonicTime now);
-  /// Whether each endpoint that could be chosen holds as many requests as it has slots. Those whose
-  /// last load report is not recent, and services without an endpoint, do not count as full.
-  bool IsFull(const EndpointRequirements& requirements, MonotonicTime now);
   /// @param memory Tokens for which the attempt needs memory.
   void OnSend(PooledEndpoint& endpoint, Tokens work, Tokens memory, MonotonicTime now);
   void OnHead(const HeadReport& report, MonotonicTime now);
--- a/src/bamboodock/command/router/pending_plan.h
+++ b/src/bamboodock/command/router/pending_plan.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <optional>
 #include <utility>
 
@@ -15,10 +14,6 @@
   explicit PendingPlan(const boost::asio::any_io_executor& executor) : timer_(executor) {}
 
   void OnPlan(PlanAnswer answer) override {
-    if (release_) {
-      if (answer.plan) release_(*answer.plan);
-      return;
-    }
     answer_ = std::move(answer);
     timer_.cancel();
   }
@@ -26,14 +21,10 @@
   /// A wait on it ends when the answer has arrived, or when the timer expires.
   boost::asio::steady_timer& timer() { return timer_; }
   std::optional<PlanAnswer>& answer() { return answer_; }
-  /// Ends the wait without an answer. A plan that arrives later is passed to `release`, since it
-  /// counts as an open attempt.
-  void Abandon(std::function<void(const AttemptPlan&)> release) { release_ = std::move(release); }
 
  private:
   boost::asio::steady_timer timer_;
   std::optional<PlanAnswer> answer_;
-  std::function<void(const AttemptPlan&)> release_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -1,6 +1,5 @@
 #include "bamboodock/command/router/planning_duty.h"
 
-#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -20,44 +19,15 @@
 
 void PlanningDuty::Handle(RouteCommand& command) {
   std::visit([this](auto& change) { On(change); }, command);
-  PostWoken();
 }
 
 void PlanningDuty::On(PlanQuery& query) {
-  std::optional<PlanAnswer> answer = state_.PlanOrWait(query);
-  if (!answer) return;
-  PostPlan(RequestId(query.request->metadata.attempt.value()),
-           {query.receiver, std::move(*answer)});
-}
-
-void PlanningDuty::PostPlan(const RequestId& request, PlannedAttempt planned) {
-  if (outputs_.planned(std::move(planned))) return;
-  log_.Write(Event::kRequestRefusedByRouter, request,
+  if (outputs_.planned({query.receiver, state_.Plan(query)})) return;
+  log_.Write(Event::kRequestRefusedByRouter, RequestId(query.request->metadata.attempt.value()),
              "code=ring_full: plan dropped, the ring of the network duty is full");
 }
 
-void PlanningDuty::PostWoken() {
-  for (PlannedAttempt& woken : state_.TakeWoken()) PostPlan(RequestId(), std::move(woken));
-}
-
-MonotonicTime PlanningDuty::NextDue() const {
-  const MonotonicTime due = state_.next_wake();
-  if (due == MonotonicTime::max()) return due;
-  // The state's clock also counts a suspension, the duty waits on the steady clock.
-  return std::chrono::steady_clock::now() + (due - state_.Now());
-}
-
 MonotonicTime PlanningDuty::Tick() {
-  const MonotonicTime now = std::chrono::steady_clock::now();
-  if (now >= next_periodic_work_) {
-    next_periodic_work_ = now + kTickInterval;
-    DoPeriodicWork();
-  }
-  PostWoken();
-  return std::min(next_periodic_work_, NextDue());
-}
-
-void PlanningDuty::DoPeriodicWork() {
   for (const RolloutProgress& progress : state_.Tick()) {
     if (!outputs_.write_progress(progress)) {
       log_.Write(
@@ -78,6 +48,7 @@
   static_cast<void>(outputs_.peers_covered_until(state_.peers_covered_until()));
   PublishStatus();
   ReportDroppedLines();
+  return std::chrono::steady_clock::now() + kTickInterval;
 }
 
 void PlanningDuty::ReportDroppedLines() {
@@ -97,7 +68,6 @@
   status->quarantined_prompt_parts = state_.quarantined_prompt_parts();
   status->rate_limited_endpoints = state_.rate_limited_endpoints();
   status->slowdown = state_.slowdown_quantiles();
-  status->waiting = state_.waiting();
   status_.Store(std::move(status));
   const bool ready = state_.Ready();
   if (ready == ready_) return;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -28,18 +28,10 @@
   PlanningDuty(RouteState state, PlanningOutputs outputs, EventLog& log);
   ~PlanningDuty() { Stop(); }
 
-  /// Handles the queued commands and ends the thread. Requests that still wait get no answer.
-  void Stop() {
-    Duty::Stop();
-    state_.DropWaiting();
-  }
-
   Ref<const RouterStatus> status() const { return status_.Load(); }
 
   void Handle(RouteCommand& command);
   MonotonicTime Tick();
-  /// When the next waiting request has to be looked at.
-  MonotonicTime NextDue() const;
 
  private:
   void On(PlanQuery& query);
@@ -48,7 +40,6 @@
     state_.Apply(change);
     PublishStatus();
   }
-  void On(PlanCancellation& cancelled) { state_.Apply(cancelled); }
   void On(HeadReport& report) { state_.Apply(report); }
   void On(UnderWayReport& report) { state_.Apply(report); }
   void On(AttemptReport& report) { state_.Apply(report); }
@@ -56,10 +47,6 @@
   void On(ConfidenceReport& report) { state_.Apply(report); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
   void On(RateLimitReport& report) { state_.Apply(report); }
-  void PostPlan(const RequestId& request, PlannedAttempt planned);
-  /// Posts the answers of the requests that do not wait any longer.
-  void PostWoken();
-  void DoPeriodicWork();
   void PublishStatus();
   void ReportDroppedLines();
 
@@ -68,7 +55,6 @@
   EventLog& log_;
   SnapshotCell<RouterStatus> status_;
   bool ready_ = false;
-  MonotonicTime next_periodic_work_{};
   /// Number of dropped log lines already reported.
   std::uint64_t reported_drops_ = 0;
 };
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -28,6 +28,12 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Whether the cause of a refusal may disappear within a fraction of a second.
+bool IsTransient(ResultCode code) {
+  return code == ResultCode::kNoConfiguration || code == ResultCode::kNotFresh ||
+         code == ResultCode::kNoEndpoint;
+}
+
 std::chrono::milliseconds AtLeastOneMs(Duration duration) {
   return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(duration),
                   std::chrono::milliseconds(1));
@@ -74,10 +80,6 @@
   CancelCurrentStep();
 }
 
-void RequestExchange::OnClosing() {
-  if (waits_) OnStopping();
-}
-
 void RequestExchange::CancelCurrentStep() {
   if (call_) call_->Cancel();
   if (pending_plan_) pending_plan_->timer().cancel();
@@ -168,47 +170,33 @@
 
 asio::awaitable<PlanAnswer> RequestExchange::RequestPlan(PlanReason reason, ModelId model,
                                                          std::uint32_t confidence) {
-  PlanQuery query{request_, reason, progress_, std::move(model), confidence, nullptr};
-  PlanAnswer answer = co_await AwaitPlan(std::move(query), kPlanTimeout);
-  co_return answer;
-}
-
-asio::awaitable<PlanAnswer> RequestExchange::RequestFirstPlan() {
-  waits_ = true;
-  PlanQuery query{request_, PlanReason::kFirst, progress_, ModelId(), 0, nullptr};
-  const Duration limit = std::max(TimeLeft(), Duration::zero()) + kPlanTimeout;
-  PlanAnswer answer = co_await AwaitPlan(std::move(query), limit);
-  waits_ = false;
-  co_return answer;
-}
-
-asio::awaitable<PlanAnswer> RequestExchange::AwaitPlan(PlanQuery query, Duration limit) {
   pending_plan_ = MakeRef<PendingPlan>(executor_);
-  pending_plan_->timer().expires_after(limit);
+  pending_plan_->timer().expires_after(kPlanTimeout);
   PlanAnswer answer;
   answer.refusal = {ResultCode::kRingFull,
                     "no plan from the planning duty: its ring is full or the wait timed out",
                     RunState::kNotRun, kRetryAfterFailure};
-  query.receiver = pending_plan_;
+  PlanQuery query{request_, reason, progress_, std::move(model), confidence, pending_plan_};
   if (!services_.post(std::move(query))) co_return answer;
   SocketError error;
   co_await pending_plan_->timer().async_wait(CaptureError(error));
-  if (pending_plan_->answer()) {
-    answer = std::move(*pending_plan_->answer());
-  } else {
-    WithdrawQuery();
-  }
+  if (pending_plan_->answer()) answer = std::move(*pending_plan_->answer());
   pending_plan_.reset();
   co_return answer;
 }
 
-void RequestExchange::WithdrawQuery() {
-  pending_plan_->Abandon([&services = services_, request = request_](const AttemptPlan& plan) {
-    const AttemptRecord unsent(services.clock.Now());
-    static_cast<void>(
-        services.post(unsent.MakeReport(plan, request->metadata, AttemptOutcome::kCancelled)));
-  });
-  Post(PlanCancellation{pending_plan_});
+asio::awaitable<PlanAnswer> RequestExchange::RequestFirstPlan() {
+  while (true) {
+    PlanAnswer answer = co_await RequestPlan(PlanReason::kFirst, ModelId());
+    const Duration waited = services_.clock.Now() - request_->arrived + timeouts_.replan_interval;
+    const bool may_succeed_later =
+        IsTransient(answer.refusal.code) &&
+        waited < std::min(PlanTimeout(timeouts_, answer.route), TimeLeft());
+    if (answer.plan || IsAbandoned() || !may_succeed_later) co_return answer;
+    asio::steady_timer pause(executor_, timeouts_.replan_interval);
+    SocketError error;
+    co_await pause.async_wait(CaptureError(error));
+  }
 }
 
 asio::awaitable<bool> RequestExchange::Run() {
@@ -224,8 +212,8 @@
       co_return false;
     }
     if (stopping_) {
-      const RunState run = runs_ > 0 ? RunState::kUnknown : RunState::kNotRun;
-      Failure stopped{ResultCode::kStopping, "the router is shutting down", run, kRetryAfterStop};
+      Failure stopped{ResultCode::kStopping, "the router is shutting down", RunState::kUnknown,
+                      kRetryAfterStop};
       co_return co_await Refuse(std::move(stopped));
     }
     if (!answer.plan) {
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -30,8 +30,6 @@
   /// Cancels the attempt or the wait in progress and refuses the request, because the process is
   /// about to exit. A begun stream ends truncated.
   void OnStopping();
-  /// Refuses the request if it waits for its first attempt, because no more requests are passed on.
-  void OnClosing();
 
  private:
   /// What to do after an attempt.
@@ -54,12 +52,9 @@
 
   asio::awaitable<PlanAnswer> RequestPlan(PlanReason reason, ModelId model,
                                           std::uint32_t confidence = 0);
-  /// Plan of the first attempt; waits until the planning duty has one or refuses the request.
+  /// Plan of the first attempt. Asks repeatedly for a short time while the configuration is missing
+  /// or stale or no endpoint is usable.
   asio::awaitable<PlanAnswer> RequestFirstPlan();
-  /// Sends the query and waits for its answer for at most this time.
-  asio::awaitable<PlanAnswer> AwaitPlan(PlanQuery query, Duration limit);
-  /// Withdraws the query that has no answer yet.
-  void WithdrawQuery();
   asio::awaitable<Action> RunAttempt(AttemptPlan plan);
   asio::awaitable<Action> OnHead(const AttemptPlan& plan, const CallHead& received);
   asio::awaitable<Action> OnNoHead(const AttemptPlan& plan, CallStatus status);
@@ -121,8 +116,6 @@
 
   RequestProgress progress_;
   Ref<PendingPlan> pending_plan_;
-  /// Whether the first plan has not arrived yet.
-  bool waits_ = false;
   Ref<EndpointCall> call_;
   EventSplitter events_;
   bool caller_closed_ = false;
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -32,11 +32,6 @@
   Ref<PlanReceiver> receiver;
 };
 
-/// States that the answer to a `PlanQuery` is not needed any more.
-struct PlanCancellation {
-  Ref<PlanReceiver> receiver;
-};
-
 /// Answer to a `PlanQuery` with its receiver.
 struct PlannedAttempt {
   Ref<PlanReceiver> receiver;
@@ -96,9 +91,8 @@
   std::uint32_t confidence = 0;
 };
 
-using RouteCommand =
-    std::variant<PlanQuery, PlanCancellation, HeadReport, UnderWayReport, AttemptReport,
-                 PromptReport, ConfidenceReport, OperatorDelta, EndpointDelta, RouterDelta,
-                 PeerReport, PromptEvidenceReport, RateLimitReport>;
+using RouteCommand = std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport,
+                                  PromptReport, ConfidenceReport, OperatorDelta, EndpointDelta,
+                                  RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -95,17 +95,6 @@
   return found == service.models.end() ? 0 : found->price;
 }
 
-/// Answer to a request whose model the router selects.
-AnswerToExpect MakeAnswerToExpect(const RequestMetadata& metadata, const Route& route,
-                                  const RoutedService& service) {
-  AnswerToExpect answer{route.id, {}, metadata.max_output_tokens, metadata.expected_output_tokens};
-  answer.models.reserve(route.models.size());
-  for (const ModelId& model : route.models) {
-    answer.models.push_back({model, PriceOf(service, model)});
-  }
-  return answer;
-}
-
 Duration RetryAfter(ResultCode code) {
   switch (code) {
     case ResultCode::kNoConfiguration:
@@ -119,18 +108,6 @@
   }
 }
 
-/// Whether the cause of a refusal may disappear within a fraction of a second.
-bool IsTransient(ResultCode code) {
-  return code == ResultCode::kNoConfiguration || code == ResultCode::kNotFresh ||
-         code == ResultCode::kNoEndpoint;
-}
-
-/// Whether the attempt has used a slot of its endpoint.
-bool HasUsedSlot(AttemptOutcome outcome) {
-  return outcome != AttemptOutcome::kRefused && outcome != AttemptOutcome::kUnreachable &&
-         outcome != AttemptOutcome::kWrongEndpoint;
-}
-
 /// Maps the priority of a request to the ten levels of the engine, of which 0 is the most urgent.
 std::uint32_t EnginePriority(Priority priority) { return std::min(priority.value() * 2 + 1, 9U); }
 
@@ -149,8 +126,7 @@
       sessions_(limits.session_timeout),
       peers_(identity_.host),
       models_(limits.least_confidence),
-      prompts_(identity_.host, log),
-      waiting_(Random(random_()), log) {}
+      prompts_(identity_.host, log) {}
 
 Duration RouteState::ConfigAge() const { return clock_.Now() - config_covered_until_; }
 
@@ -167,79 +143,22 @@
                      peers_.EntryCount());
 }
 
-PlanAnswer RouteState::Refuse(ResultCode code, std::string detail) const {
-  return Refuse(code, std::move(detail), RetryAfter(code));
+PlanAnswer RouteState::Refuse(const PlanQuery& query, ResultCode code, std::string detail) const {
+  return Refuse(query, code, std::move(detail), RetryAfter(code));
 }
 
-PlanAnswer RouteState::Refuse(ResultCode code, std::string detail, Duration retry_after) const {
+PlanAnswer RouteState::Refuse(const PlanQuery& query, ResultCode code, std::string detail,
+                              Duration retry_after) const {
+  log_.Write(Event::kRequestRefusedByRouter, RequestId(query.request->metadata.attempt.value()),
+             fmt::format("code={} reason={} why='{}' {}", Name(code), Name(query.reason), detail,
+                         ConfigSummary()));
   const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(retry_after);
   return {std::nullopt, Failure{code, std::move(detail), RunState::kNotRun, wait}, nullptr,
           nullptr};
 }
 
-void RouteState::LogRefusal(const PlanQuery& query, const Failure& refusal) const {
-  log_.Write(Event::kRequestRefusedByRouter, RequestId(query.request->metadata.attempt.value()),
-             fmt::format("code={} reason={} why='{}' {}", Name(refusal.code), Name(query.reason),
-                         refusal.detail, ConfigSummary()));
-}
-
 PlanAnswer RouteState::Plan(const PlanQuery& query) {
-  PlanAnswer answer = Decide(query, HoldRule::kNever);
-  if (!answer.plan) LogRefusal(query, answer.refusal);
-  return answer;
-}
-
-std::optional<PlanAnswer> RouteState::PlanOrWait(const PlanQuery& query) {
-  if (query.reason != PlanReason::kFirst || query.receiver == nullptr) return Plan(query);
-  PlanAnswer answer = Decide(query, HoldRule::kIfFullOrOthersWait);
-  if (const auto terms = TermsOfWaiting(query, answer)) {
-    std::optional<Failure> refusal = waiting_.Enter(query, *terms, clock_.Now());
-    if (!refusal) return std::nullopt;
-    answer.refusal = std::move(*refusal);
-  }
-  if (!answer.plan) LogRefusal(query, answer.refusal);
-  return answer;
-}
-
-std::vector<PlannedAttempt> RouteState::TakeWoken() {
-  return waiting_.TakeWoken(*this, clock_.Now());
-}
-
-std::optional<WaitTerms> RouteState::TermsOfWaiting(const PlanQuery& query,
-                                                    const PlanAnswer& answer) {
-  const ResultCode code = answer.refusal.code;
-  const bool full = code == ResultCode::kOverloaded;
-  if (answer.plan || (!full && !IsTransient(code))) return std::nullopt;
-  const MonotonicTime now = clock_.Now();
-  const CallerRequest& request = *query.request;
-  WaitTerms terms;
-  terms.cause = full ? WaitCause::kFull : WaitCause::kMissing;
-  terms.times.left = RequestDeadline(request, answer.route) - now;
-  terms.longest = std::min(PlanTimeout(timeouts_, answer.route), terms.times.left);
-  if (table_ == nullptr || answer.route == nullptr) return terms;
-  const Route& route = *answer.route;
-  terms.priority = route.priority;
-  if (const RoutedAccount* account = table_->FindAccount(request.metadata.key)) {
-    terms.account = account->id;
-    terms.priority = account->priority.value_or(route.priority);
-  }
-  const RoutedService* service = ChooseService(query, route);
-  if (service == nullptr) return terms;
-  const RequestMetadata& metadata = request.metadata;
-  const bool selects = metadata.any_model && !route.models.empty();
-  terms.service = service->id;
-  terms.work = EstimateWork(request, *service, selects ? route.models.front() : metadata.model);
-  if (!full) return terms;
-  if (selects) {
-    const auto expected = pace_.Expected(MakeAnswerToExpect(metadata, route, *service), 0, now);
-    if (expected) terms.times.run = expected->time;
-  }
-  terms.longest = terms.times.left - terms.times.run;
-  return terms;
-}
-
-PlanAnswer RouteState::Decide(const PlanQuery& query, HoldRule hold) {
-  if (table_ == nullptr) return Refuse(ResultCode::kNoConfiguration, "no configuration");
+  if (table_ == nullptr) return Refuse(query, ResultCode::kNoConfiguration, "no configuration");
   RequestProgress progress = query.progress;
   PlanAnswer resolved = ResolveRequest(query, progress);
   resolved.route = progress.route;
@@ -247,15 +166,15 @@
   if (resolved.refusal.code != ResultCode::kOk) return resolved;
   // Every attempt is planned here, so that no cause of a repeat can miss the rule.
   if (!IsAttemptAllowed(*progress.route, query.reason)) {
-    return Refuse(ResultCode::kOutcomeUnknown, "the request may have run and is not idempotent",
-                  Duration::zero());
+    return Refuse(query, ResultCode::kOutcomeUnknown,
+                  "the request may have run and is not idempotent", Duration::zero());
   }
   const std::optional<ModelId> model = ChooseModel(query, progress);
   if (!model) {
     const EscalationConditions load = ConditionsOf(progress.service->id);
     const Duration left = RequestDeadline(*query.request, progress.route) - clock_.Now();
     return Refuse(
-        ResultCode::kOverloaded,
+        query, ResultCode::kOverloaded,
         fmt::format("confidence of the smaller model suffices at this load and time left: "
                     "confidence={} pending_tokens={:.0f} budget_used={:.2f} left_ms={}",
                     query.confidence, load.pending_tokens, load.budget_used.value(),
@@ -263,12 +182,12 @@
   }
   if (const auto refusal = prompts_.Check(*query.request, pool_.ranking(), clock_.Now())) {
     PlanAnswer refused =
-        Refuse(ResultCode::kPromptQuarantined, refusal->detail, refusal->retry_after);
+        Refuse(query, ResultCode::kPromptQuarantined, refusal->detail, refusal->retry_after);
     refused.route = progress.route;
     refused.table = progress.table;
     return refused;
   }
-  return ChooseAttempt(query, *model, std::move(progress), hold);
+  return ChooseAttempt(query, *model, std::move(progress));
 }
 
 PlanAnswer RouteState::ResolveRequest(const PlanQuery& query, RequestProgress& progress) const {
@@ -278,24 +197,25 @@
     progress.table = table_;
     progress.route = table_->FindRoute(request.host, request.Path());
     if (progress.route == nullptr) {
-      if (!fresh) return Refuse(ResultCode::kNotFresh, "no route in a stale configuration");
-      return Refuse(ResultCode::kNotFound, "no route matches host and path");
+      if (!fresh) return Refuse(query, ResultCode::kNotFresh, "no route in a stale configuration");
+      return Refuse(query, ResultCode::kNotFound, "no route matches host and path");
     }
   }
   if (!progress.route->allows_anonymous && table_->RequiresKey()) {
     if (ConfigAge() >= limits_.max_config_age) {
-      return Refuse(ResultCode::kNotFresh, "configuration too old: API keys may have been revoked");
+      return Refuse(query, ResultCode::kNotFresh,
+                    "configuration too old: API keys may have been revoked");
     }
     const RoutedAccount* account = table_->FindAccount(request.metadata.key);
     if (account == nullptr) {
-      if (!fresh) return Refuse(ResultCode::kNotFresh, "API key not in stale configuration");
-      return Refuse(ResultCode::kUnauthorized, "unknown API key");
+      if (!fresh) return Refuse(query, ResultCode::kNotFresh, "API key not in stale configuration");
+      return Refuse(query, ResultCode::kUnauthorized, "unknown API key");
     }
     progress.account = account->id;
   }
   if (progress.service == nullptr) progress.service = ChooseService(query, *progress.route);
   if (progress.service == nullptr) {
-    return Refuse(ResultCode::kNoEndpoint, "service of the route is not configured");
+    return Refuse(query, ResultCode::kNoEndpoint, "service of the route is not configured");
   }
   return {std::nullopt, Failure{ResultCode::kOk, "", RunState::kNotRun, {}}, nullptr, nullptr};
 }
@@ -329,7 +249,12 @@
   const MonotonicTime now = clock_.Now();
   const RequestMetadata& metadata = query.request->metadata;
   const Duration left = RequestDeadline(*query.request, progress.route) - now;
-  const AnswerToExpect answer = MakeAnswerToExpect(metadata, *progress.route, *progress.service);
+  AnswerToExpect answer{
+      progress.route->id, {}, metadata.max_output_tokens, metadata.expected_output_tokens};
+  answer.models.reserve(progress.route->models.size());
+  for (const ModelId& model : progress.route->models) {
+    answer.models.push_back({model, PriceOf(*progress.service, model)});
+  }
   const Ratio least = query.reason == PlanReason::kNextModel
                           ? ModelChoice::GoodProbability(query.confidence)
                           : ModelChoice::kEvenChance;
@@ -431,31 +356,25 @@
   return ChooseRolloutVersion(query, progress, *order);
 }
 
-PlanAnswer RouteState::RefuseWithoutEndpoint(const RequestProgress& progress,
+PlanAnswer RouteState::RefuseWithoutEndpoint(const PlanQuery& query,
+                                             const RequestProgress& progress,
                                              const EndpointRequirements& requirements) {
   const MonotonicTime now = clock_.Now();
   const std::string& service = progress.service->id.value();
   if (const auto available_at = pool_.FirstAvailableAt(requirements, now)) {
-    return Refuse(ResultCode::kEndpointAtLimit,
+    return Refuse(query, ResultCode::kEndpointAtLimit,
                   fmt::format("endpoints limit their rate or have asked for a pause, service={} "
                               "rate_limited={}",
                               service, pool_.rate_limits().limited_count()),
                   std::max<Duration>(*available_at - now, kRetryNoEndpoint));
   }
-  return Refuse(ResultCode::kNoEndpoint, fmt::format("no usable endpoint, service={} tried={}",
-                                                     service, progress.tried.size()));
-}
-
-bool RouteState::IsHeld(const EndpointRequirements& requirements, HoldRule hold,
-                        MonotonicTime now) {
-  if (hold == HoldRule::kNever) return false;
-  const bool others_wait =
-      hold == HoldRule::kIfFullOrOthersWait && waiting_.HasWaitingForSlot(requirements.service->id);
-  return others_wait || pool_.IsFull(requirements, now);
+  return Refuse(
+      query, ResultCode::kNoEndpoint,
+      fmt::format("no usable endpoint, service={} tried={}", service, progress.tried.size()));
 }
 
 PlanAnswer RouteState::ChooseAttempt(const PlanQuery& query, const ModelId& model,
-                                     RequestProgress progress, HoldRule hold) {
+                                     RequestProgress progress) {
   const MonotonicTime now = clock_.Now();
   const CallerRequest& request = *query.request;
   RepeatBudget& budget = BudgetOf(progress.service->id);
@@ -473,12 +392,6 @@
   requirements.optional = query.reason == PlanReason::kNextModel;
   if (requirements.shared >= kAffinityTokens) requirements.affinity = AffinityKey(request.metadata);
   requirements.subset_share = choice.subset_share;
-  if (IsHeld(requirements, hold, now)) {
-    PlanAnswer held = Refuse(ResultCode::kOverloaded, "all endpoints of the service are full");
-    held.route = progress.route;
-    held.table = progress.table;
-    return held;
-  }
   PooledEndpoint* endpoint = pool_.Choose(requirements, random_, now);
   if (endpoint == nullptr && choice.may_fall_back) {
     requirements.allows_version = [](const VersionId&) { return true; };
@@ -486,15 +399,16 @@
     endpoint = pool_.Choose(requirements, random_, now);
   }
   if (endpoint == nullptr) {
-    PlanAnswer refused = RefuseWithoutEndpoint(progress, requirements);
+    PlanAnswer refused = RefuseWithoutEndpoint(query, progress, requirements);
     refused.route = progress.route;
     refused.table = progress.table;
     return refused;
   }
+  // A request waits for its first plan with several queries, of which only the last one counts.
   if (query.reason == PlanReason::kFirst) budget.OnRequest(now);
   const bool repeat = progress.sent > 0;
   if (repeat && !budget.TryRepeat(now, peers_.EntryCount())) {
-    return Refuse(ResultCode::kRetryBudgetSpent, "retry budget of the service exhausted");
+    return Refuse(query, ResultCode::kRetryBudgetSpent, "retry budget of the service exhausted");
   }
   pool_.OnSend(*endpoint, work, requirements.memory, now);
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
@@ -549,7 +463,6 @@
 
 void RouteState::Apply(const HeadReport& report) {
   const MonotonicTime now = clock_.Now();
-  waiting_.OnChange();
   pool_.OnHead(report, now);
   if (report.unreadable_load && pool_.OnUnreadableLoad(report.endpoint, report.started)) {
     log_.Write(
@@ -588,8 +501,6 @@
   const bool on_trial = order != nullptr && order->target == report.version &&
                         !rollouts_.IsTargetOnly(report.service);
   pool_.OnReport(report, ColdTime(report.service), !on_trial, now);
-  if (report.sent && HasUsedSlot(report.outcome)) waiting_.OnFreed(report.service, now);
-  waiting_.OnChange();
   pace_.Learn(report, now);
   if (report.repeat && !report.sent) BudgetOf(report.service).OnUnsent(now);
   rollouts_.OnReport(report, latency);
@@ -620,7 +531,6 @@
 }
 
 void RouteState::Apply(const OperatorDelta& delta) {
-  waiting_.OnChange();
   for (const OperatorRow& row : delta.rows) {
     if (row.config != nullptr) Install(row.config);
     if (!row.evacuation.empty()) ApplyEvacuation(row);
@@ -646,12 +556,10 @@
   if (covered > clock_.Now()) return;
   peers_covered_until_ = std::max(peers_covered_until_, covered);
   config_covered_until_ = std::max(config_covered_until_, covered);
-  waiting_.OnChange();
   orders_.until = std::max(orders_.until, orders.until);
 }
 
 void RouteState::Apply(const EndpointDelta& delta) {
-  waiting_.OnChange();
   endpoints_listed_ = true;
   for (const EndpointRecord& record : delta.changed) {
     const PooledEndpoint* known = pool_.Find(record.id);
@@ -671,7 +579,6 @@
 }
 
 void RouteState::Apply(const RouterDelta& delta) {
-  waiting_.OnChange();
   routers_listed_ = true;
   for (const PeerRecord& peer : delta.peers) {
     if (!peers_.AddRow(peer.host)) continue;
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -11,10 +11,8 @@
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_limits.h"
 #include "bamboodock/command/router/session_pins.h"
-#include "bamboodock/command/router/waiting_plans.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
-#include "bamboodock/policy/attempt_timeouts.h"
 #include "bamboodock/policy/model_acceptances.h"
 #include "bamboodock/policy/model_choice.h"
 #include "bamboodock/policy/random.h"
@@ -34,26 +32,13 @@
 ///
 /// Holds all state that decisions depend on. Used on the planning duty's thread only; the clock and
 /// the random generator are passed in.
-class RouteState : private FirstPlanner {
+class RouteState {
  public:
   RouteState(RouterIdentity identity, const RouterLimits& limits, const Clock& clock, Random random,
              EventLog& log);
 
   /// Plans the next attempt of a request, or states why there is none.
   PlanAnswer Plan(const PlanQuery& query);
-  /// The same, but empty when the query is for a first attempt that has to wait; `TakeWoken` then
-  /// returns the answer when it is due.
-  std::optional<PlanAnswer> PlanOrWait(const PlanQuery& query);
-  /// Answers of the requests that do not wait any longer. To be called after each change and when
-  /// `next_wake` is reached.
-  std::vector<PlannedAttempt> TakeWoken();
-  MonotonicTime next_wake() const { return waiting_.next_due(); }
-  MonotonicTime Now() const { return clock_.Now(); }
-  WaitingStatus waiting() const { return waiting_.Status(clock_.Now()); }
-  /// Drops the requests that wait, for use when the process ends.
-  void DropWaiting() { waiting_.Clear(); }
-
-  void Apply(const PlanCancellation& cancelled) { waiting_.Cancel(*cancelled.receiver); }
   void Apply(const HeadReport& report);
   void Apply(const UnderWayReport& report);
   void Apply(const AttemptReport& report);
@@ -105,20 +90,14 @@
     Ratio subset_share{1.0};
   };
 
-  PlanAnswer Decide(const PlanQuery& query, HoldRule hold) override;
-  std::optional<WaitTerms> TermsOfWaiting(const PlanQuery& query,
-                                          const PlanAnswer& answer) override;
-  /// Whether a request is held back for want of a free slot.
-  bool IsHeld(const EndpointRequirements& requirements, HoldRule hold, MonotonicTime now);
-  PlanAnswer Refuse(ResultCode code, std::string detail) const;
-  PlanAnswer Refuse(ResultCode code, std::string detail, Duration retry_after) const;
-  void LogRefusal(const PlanQuery& query, const Failure& refusal) const;
+  PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail) const;
+  PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail,
+                    Duration retry_after) const;
   /// Refuses a request for which no endpoint can be chosen.
-  PlanAnswer RefuseWithoutEndpoint(const RequestProgress& progress,
+  PlanAnswer RefuseWithoutEndpoint(const PlanQuery& query, const RequestProgress& progress,
                                    const EndpointRequirements& requirements);
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
-  PlanAnswer ChooseAttempt(const PlanQuery& query, const ModelId& model, RequestProgress progress,
-                           HoldRule hold);
+  PlanAnswer ChooseAttempt(const PlanQuery& query, const ModelId& model, RequestProgress progress);
   VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
   VersionChoice ChooseRolloutVersion(const PlanQuery& query, const RequestProgress& progress,
                                      const RolloutOrder& order);
@@ -169,8 +148,6 @@
   ModelAcceptances acceptances_;
   StreamPace pace_;
   PromptGuard prompts_;
-  WaitingPlans waiting_;
-  AttemptTimeouts timeouts_;
   std::map<ServiceId, RepeatBudget> budgets_;
   /// Active version by service when there is no rollout.
   std::map<ServiceId, VersionId> baseline_;
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -90,8 +90,6 @@
     EventName{Event::kPromptPartProbed, "prompt_part_probed"},
     EventName{Event::kRemovalDeferred, "removal_deferred"},
     EventName{Event::kRateLimitChanged, "rate_limit_changed"},
-    EventName{Event::kRequestWaits, "request_waits"},
-    EventName{Event::kRequestWoken, "request_woken"},
     EventName{Event::kLoadReportUnreadable, "load_report_unreadable"},
 };
 
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -93,8 +93,6 @@
   kPromptPartProbed = 730,
   kRemovalDeferred = 731,
   kRateLimitChanged = 732,
-  kRequestWaits = 733,
-  kRequestWoken = 734,
   kLoadReportUnreadable = 735,
 };
 
--- a/src/bamboodock/policy/attempt_timeouts.h
+++ b/src/bamboodock/policy/attempt_timeouts.h
@@ -34,6 +34,8 @@
   double plan_factor = 0.12;
   /// The same, as a time, for a request whose route is not known.
   std::chrono::milliseconds unknown_route{150};
+  /// Interval between two attempts to plan a request.
+  std::chrono::milliseconds replan_interval{50};
 };
 
 /// Time for which a request that cannot be planned yet waits; `route` is null when it is unknown.
--- a/src/bamboodock/query/router/metrics_query.cc
+++ b/src/bamboodock/query/router/metrics_query.cc
@@ -72,22 +72,6 @@
   }
 }
 
-void AppendCounter(std::string& text, std::string_view name, std::uint64_t value) {
-  text += fmt::format("# TYPE {0} counter\n{0} {1}\n", name, value);
-}
-
-void AppendWaiting(std::string& text, const WaitingStatus& waiting) {
-  AppendGauge(text, "bamboodock_waiting_requests", static_cast<double>(waiting.requests));
-  AppendCounter(text, "bamboodock_refused_hopeless_total", waiting.refused_hopeless);
-  AppendCounter(text, "bamboodock_refused_queue_full_total", waiting.refused_queue_full);
-  constexpr std::string_view kName = "bamboodock_waiting_oldest_seconds";
-  text += fmt::format("# TYPE {} gauge\n", kName);
-  for (std::size_t priority = 0; priority < waiting.oldest.size(); ++priority) {
-    text += fmt::format("{}{{priority=\"{}\"}} {}\n", kName, priority,
-                        std::chrono::duration<double>(waiting.oldest.at(priority)).count());
-  }
-}
-
 void AppendLatency(std::string& text, const RouterCounters& counters) {
   constexpr std::string_view kName = "bamboodock_answer_seconds";
   text += fmt::format("# TYPE {} histogram\n", kName);
@@ -123,7 +107,6 @@
               static_cast<double>(status->rate_limited_endpoints));
   AppendSlowdown(text, status->slowdown);
   AppendGauge(text, "bamboodock_dropped_log_lines", static_cast<double>(DroppedLogLines()));
-  AppendWaiting(text, status->waiting);
   AppendLatency(text, counters_);
   return text;
 }
--- a/src/bamboodock/query/router/router_status.h
+++ b/src/bamboodock/query/router/router_status.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <array>
-#include <cstdint>
-
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/slowdown_quantiles.h"
@@ -10,16 +7,6 @@
 
 namespace bamboodock {
 
-/// Requests that wait for an endpoint.
-struct WaitingStatus {
-  std::size_t requests = 0;
-  /// How long the oldest request waits, by priority; the last value is for all lower priorities.
-  std::array<Duration, 4> oldest{};
-  /// Requests refused so far because they could not be in time, and for want of a place.
-  std::uint64_t refused_hopeless = 0;
-  std::uint64_t refused_queue_full = 0;
-};
-
 /// Immutable snapshot of the planning duty's state for readers on other threads.
 struct RouterStatus : RefCounted<RouterStatus> {
   /// Null before the first configuration.
@@ -31,7 +18,6 @@
   std::size_t quarantined_prompt_parts = 0;
   std::size_t rate_limited_endpoints = 0;
   SlowdownQuantiles slowdown;
-  WaitingStatus waiting;
 };
 
 }  // namespace bamboodock
--- a/test/fakes/loopback_router.h
+++ b/test/fakes/loopback_router.h
@@ -83,14 +83,6 @@
   /// Sends a request on a new connection and returns all bytes of its answer.
   /// @param headers Further header lines, each with its line end.
   std::string Request(const std::string& attempt, const std::string& headers = "") {
-    boost::asio::ip::tcp::socket socket = Send(attempt, headers);
-    boost::system::error_code error;
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
-    return answer;
-  }
-  /// Sends a request on a new connection, on which the answer comes; parameters as for `Request`.
-  boost::asio::ip::tcp::socket Send(const std::string& attempt, const std::string& headers = "") {
     boost::asio::ip::tcp::socket socket(loop_);
     socket.connect({boost::asio::ip::make_address("127.0.0.1"), network_.caller_port()});
     const std::string bytes =
@@ -98,10 +90,11 @@
         attempt + "\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
     boost::system::error_code error;
     boost::asio::write(socket, boost::asio::buffer(bytes), error);
-    return socket;
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    return answer;
   }
 
-  NetworkDuty& network() { return network_; }
   const SharedEventLog& log() const { return log_; }
   const RouterCounters& counters() const { return counters_; }
 
