Weigh the hint at an answer's length against the usual length

Cause: hints are often far off by a factor and were believed up to the accepted tokens, as if one token made one event.

Change: the expected length is the geometric mean of the corrected hint and the usual length of the route.

--- a/src/bamboodock/policy/stream_pace.cc
+++ b/src/bamboodock/policy/stream_pace.cc
@@ -79,8 +79,10 @@
   const double longest = ToDouble(answer.max_output_tokens);
   const Tokens expected = answer.expected_output_tokens.value_or(Tokens(0));
   if (expected.value() == 0) return longest * ratio(events_per_token_);
-  const double events = ToDouble(expected) * ratio(events_per_expected_token_);
-  return longest > 0 ? std::min(events, longest) : events;
+  const double hinted = ToDouble(expected) * ratio(events_per_expected_token_);
+  const double usual = longest * ratio(events_per_token_);
+  // Hints are often far off by a factor, so the usual length counts as much.
+  return usual > 0 ? std::sqrt(hinted * usual) : hinted;
 }
 
 std::optional<AnswerEstimate> StreamPace::Expected(const AnswerToExpect& answer, std::size_t model,
