--- a/src/bamboodock/policy/placement.h
+++ b/src/bamboodock/policy/placement.h
@@ -100,8 +100,9 @@
 /// Prompt and output tokens for which an endpoint has memory, by its slots.
 ///
 /// Load pattern: long prompts that gather at the fast endpoints and exceed their memory, at which
-/// engines crash. Endpoints do not state their memory. The engines have 8,377 tokens a slot or
-/// more, and the estimate for the requests of other entries is rough, so part of it is kept free.
+/// engines crash. Endpoints do not state their memory, so a share for each slot is assumed. The
+/// estimate for the requests of other entries is rough, so the share is below what engines of this
+/// kind have.
 inline Tokens MemoryOf(Concurrency slots) {
   constexpr std::uint64_t kTokensPerSlot = 6000;
   return Tokens(kTokensPerSlot * std::max(1U, slots.value()));
