Let a size between be tried before it is known to save

Cause: with a required saving of a quarter the prior of a size between kept it from ever being asked, so that it could not be learned that it suffices: two unit tests failed on (MiddleModelIsAskedWhereItSaves and AcceptanceIsSharedAndRepeatedReportsAreHarmless).

Change: the saving is 8%, within which the prior leads to a first trial.

--- a/src/bamboodock/policy/model_choice.h
+++ b/src/bamboodock/policy/model_choice.h
@@ -198,7 +198,7 @@
   static constexpr double kTimeSpread = 0.5;
   static constexpr std::uint32_t kAttemptsForTwoModels = 2;
   /// Part of the price of the largest model that a size between must be expected to save.
-  static constexpr double kLeastSaving = 0.25;
+  static constexpr double kLeastSaving = 0.08;
   /// The price after a model is estimated as if attempts were not limited.
   static constexpr std::uint32_t kManyAttempts = 8;
 
