--- a/review/7/case.py
+++ b/review/7/case.py
@@ -52,7 +52,7 @@
         client = Client(f"s{number}", routers[number % 2].callers, record)
         while not stop.is_set():
             sessions[number].append(
-                await client.request("POST", "/orders/work/20", {"Session": f"session-{number}"}, 3000))
+                await client.request("POST", "/orders/busy/20", {"Session": f"session-{number}"}, 3000))
             await asyncio.sleep(0.3)
         client.close()
 
@@ -65,7 +65,7 @@
     async def single_requests(number):
         client = Client(f"n{number}", routers[number % 2].callers, record)
         while not stop.is_set():
-            await client.request("POST", "/orders/work/20", time_left_ms=3000)
+            await client.request("POST", "/orders/busy/20", time_left_ms=3000)
             await asyncio.sleep(0.3)
         client.close()
 
--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -241,7 +241,7 @@
         if stream:
             await self.send_stream(writer, head, int(stream[1]))
         else:
-            work = re.search(r"/work/(\d+)", first)
+            work = re.search(r"/busy/(\d+)", first)
             await asyncio.sleep(int(work[1]) / 1000 if work else 0.06)
             body = b"" if first.startswith("HEAD ") else b"ok"
             writer.write(head + b"Content-Length: 2\r\n\r\n" + body)
