Let the scripted server reset connections in fact

Cause: the destructor of an Asio socket takes back a linger option that its user has set, so kReset of the tests' ScriptedServer ended connections in order. Seen in the system calls of a test: SO_LINGER is cleared before the close. Change: the server closes the socket itself. Tests with kReset get stricter: what they stand for now happens.

--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -105,7 +105,9 @@
       if (answer.action == ConnectionAction::kWaitForPeer) WaitForPeer(socket);
       SendMore(socket, answer);
       if (answer.action == ConnectionAction::kReset) {
+        // The destructor of the socket would take the option back.
         socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        socket.close(error);
       } else {
         socket.shutdown(Socket::shutdown_send, error);
       }
