Refuse answers whose status is that of no answer

Callers saw: a 200 that was not the runner's answer, behind a head with the status 000 (unsafe, safe and stream routes, each time). The same with 001, 099 and 101, with interim answers that announce content, and answers with 600 and 999 were passed on as they came. Cause: each status below 200 was skipped as an interim one, and the bytes behind it were read as one more head. Nothing checked the range of the status.

--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -9,15 +9,13 @@
 #include <limits>
 #include <utility>
 
+#include "bamboodock/transport/response_receiver.h"
+
 namespace bamboodock {
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t kReadSize = 16384;
-/// Room for the bytes of a body that arrive with its head.
-constexpr std::size_t kReadAhead = 65536;
-
 /// Wait for readable bytes with a timeout; shared with the handler, which may run after the wait
 /// has ended.
 struct ByteWait : RefCounted<ByteWait> {
@@ -28,27 +26,10 @@
   bool ended = false;
 };
 
-/// Lower status codes are interim answers (1xx), which precede the final one.
-constexpr int kFirstFinalStatus = 200;
-
-/// Whether the answer exceeded a limit of the parser or of the buffer.
-bool IsLimitError(const SocketError& error) {
-  return error == http::error::header_limit || error == http::error::body_limit ||
-         error == http::error::buffer_overflow;
-}
-
-/// Whether the error is about the bytes received, not about the connection.
-bool IsInvalidHttp(const SocketError& error) {
-  static const boost::system::error_category& http_category =
-      make_error_code(http::error::bad_version).category();
-  return error.category() == http_category && error != http::error::end_of_stream &&
-         error != http::error::partial_message;
-}
-
 }  // namespace
 
 EndpointCall::EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits)
-    : limits_(limits), stream_(executor), buffer_(limits.head.value() + kReadAhead) {}
+    : stream_(executor), parser_({limits.head, limits.interim_heads}) {}
 
 CallStatus EndpointCall::OnReadError(const SocketError& error) {
   if (cancelled_) return CallStatus::kCancelled;
@@ -137,47 +118,25 @@
 
 asio::awaitable<CallHead> EndpointCall::ReadHead(std::chrono::milliseconds timeout) {
   stream_.expires_after(timeout);
+  parser_.Start(head_only_);
   CallHead head;
-  SocketError error;
-  std::uint32_t heads = 0;
-  do {
-    if (heads++ > limits_.interim_heads) {
-      head.status = CallStatus::kTooLarge;
-      co_return head;
-    }
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits_.head.value()));
-    parser_->body_limit(boost::none);
-    parser_->skip(head_only_);
-    co_await http::async_read_header(stream_, buffer_, *parser_, CaptureError(error));
-    if (error) {
-      head.status = OnReadError(error);
-      co_return head;
-    }
-    head.code = static_cast<int>(parser_->get().result_int());
-  } while (head.code < kFirstFinalStatus);
-  for (const auto& field : parser_->get()) {
-    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  const SocketError error = co_await ReceiveHead(stream_, parser_);
+  if (error) {
+    head.status = OnReadError(error);
+    co_return head;
   }
-  needs_more_ = buffer_.size() == 0 && !parser_->is_done();
+  head.code = parser_.head().status;
+  head.headers = parser_.head().headers;
+  needs_more_ = !parser_.HasBytes() && !parser_.is_done();
   co_return head;
 }
 
 void EndpointCall::ParseBuffered(BodyChunk& chunk) {
-  SocketError error;
-  while (!parser_->is_done() && buffer_.size() > 0 && !error) {
-    auto& body = parser_->get().body();
-    body.data = read_buffer_.data();
-    body.size = read_buffer_.size();
-    body.more = true;
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error == http::error::need_buffer) error = {};
-    chunk.bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
-  }
+  const SocketError error = parser_.ParseBody(chunk.bytes);
   needs_more_ = true;
-  if (parser_->is_done()) {
+  if (!error) {
     chunk.status = CallStatus::kEnd;
-  } else if (error && error != http::error::need_more) {
+  } else if (error != http::error::need_more) {
     chunk.status = OnReadError(error);
   }
 }
@@ -188,23 +147,11 @@
     ParseBuffered(chunk);
     co_return chunk;
   }
-  const std::size_t room = buffer_.max_size() - buffer_.size();
-  if (room == 0) {
-    chunk.status = CallStatus::kTooLarge;
-    co_return chunk;
-  }
   stream_.expires_after(timeout);
-  SocketError error;
-  const std::size_t size = co_await stream_.async_read_some(
-      buffer_.prepare(std::min(room, kReadSize)), CaptureError(error));
-  buffer_.commit(size);
+  SocketError error = co_await ReceiveSome(stream_, parser_);
   ParseBuffered(chunk);
   if (!error || chunk.status != CallStatus::kOk) co_return chunk;
-  if (error == asio::error::eof) {
-    // The end of the connection ends a body without framing.
-    error = {};
-    parser_->put_eof(error);
-  }
+  if (error == asio::error::eof) error = parser_.OnConnectionEnd();
   chunk.status = error ? OnReadError(error) : CallStatus::kEnd;
   co_return chunk;
 }
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <array>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +8,7 @@
 #include "bamboodock/core/ref_counted.h"
 #include "bamboodock/routing/caller_request.h"
 #include "bamboodock/transport/async_socket.h"
+#include "bamboodock/transport/response_parser.h"
 
 namespace bamboodock {
 
@@ -85,13 +82,11 @@
   asio::awaitable<BodyChunk> Read(std::chrono::milliseconds timeout);
   const CallTrace& trace() const { return trace_; }
   /// Whether the body has a length or chunks; without them it ends with the connection.
-  bool HasFraming() const { return parser_ && !parser_->need_eof(); }
+  bool HasFraming() const { return parser_.HasFraming(); }
   /// Closes the connection, on which the endpoint aborts the request.
   void Cancel();
 
  private:
-  using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   void OnLost();
   /// Records the error of a read and returns the status that it means.
   CallStatus OnReadError(const SocketError& error);
@@ -102,14 +97,10 @@
   static asio::awaitable<void> Write(Ref<EndpointCall> self, Ref<const CallerRequest> request,
                                      std::vector<HttpHeader> added);
 
-  AnswerLimits limits_;
   CallTrace trace_;
   beast::tcp_stream stream_;
   Ref<LivenessMonitor> liveness_;
-  /// Also holds the framing of a chunk, which an endpoint may extend without end.
-  beast::flat_buffer buffer_;
-  std::optional<ResponseParser> parser_;
-  std::array<char, 8192> read_buffer_{};
+  ResponseParser parser_;
   /// Whether the parser has used all that it can of the bytes received. Some may be left in the
   /// buffer, such as the line end of a chunk.
   bool needs_more_ = true;
--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -66,6 +66,9 @@
     return requests_;
   }
 
+  /// Bytes of answers that peers have taken or that sockets hold.
+  std::size_t bytes_sent() const { return bytes_sent_; }
+
   /// Waits until a peer has closed a connection left open by `kWaitForPeer`; false after `limit`.
   bool WaitForPeerClose(std::chrono::seconds limit) {
     std::unique_lock lock(mutex_);
@@ -100,7 +103,7 @@
         requests_.push_back(request);
       }
       const Answer answer = script_(request, number);
-      boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
+      Send(socket, answer.bytes, error);
       if (answer.action == ConnectionAction::kKeep) continue;
       if (answer.action == ConnectionAction::kWaitForPeer) WaitForPeer(socket);
       SendMore(socket, answer);
@@ -115,18 +118,22 @@
     }
   }
 
+  void Send(Socket& socket, const std::string& bytes, boost::system::error_code& error) {
+    bytes_sent_ += boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  }
+
   void SendMore(Socket& socket, const Answer& answer) {
     constexpr std::chrono::milliseconds kTricklePause{20};
     constexpr std::chrono::seconds kFinishDelay{1};
     boost::system::error_code error;
     if (answer.action == ConnectionAction::kFinishLater) {
       std::this_thread::sleep_for(kFinishDelay);
-      boost::asio::write(socket, boost::asio::buffer(answer.more), error);
+      Send(socket, answer.more, error);
     }
     const bool trickles = answer.action == ConnectionAction::kTrickle;
     if (!trickles && answer.action != ConnectionAction::kSendEndlessly) return;
     while (!error && !stopping_) {
-      boost::asio::write(socket, boost::asio::buffer(answer.more), error);
+      Send(socket, answer.more, error);
       if (trickles) std::this_thread::sleep_for(kTricklePause);
     }
   }
@@ -147,6 +154,7 @@
   std::condition_variable changed_;
   std::vector<Request> requests_;
   int peer_closes_ = 0;
+  std::atomic<std::size_t> bytes_sent_{0};
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> connections_;
   std::thread thread_;
