Refuse transfer codings other than chunked

Callers saw: bodies in a coding that they did not ask for, or with the framing of chunks in them, as complete answers: 'gzip', 'gzip, chunked', 'chunked, gzip', 'chunked, chunked', 'identity', 'xchunked', and chunks in HTTP/1.0. Cause: the parser takes a last 'chunked' as the framing and ignores other codings, and the router strips the field. Change: CheckResponseHead accepts a single 'chunked' in HTTP/1.1 without a length (RFC 9112, section 6.1), and no content announced with 204.

--- a/src/bamboodock/transport/response_rule.cc
+++ b/src/bamboodock/transport/response_rule.cc
@@ -17,6 +17,7 @@
 constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
 constexpr int kPastLastStatus = 600;
 
 bool IsValidVersion(unsigned version) { return version >= kHttp10 && version < kNextMajorVersion; }
@@ -57,10 +58,18 @@
   if (!IsValidVersion(head.version)) return http::error::bad_version;
   if (!IsValidStatus(head.status)) return http::error::bad_status;
   if (HasForbiddenValue(head.headers)) return http::error::bad_value;
-  const auto lengths = ValuesOf(head.headers, "Content-Length");
   const auto codings = ValuesOf(head.headers, "Transfer-Encoding");
-  if (IsInterim(head.status) && !codings.empty()) return http::error::bad_transfer_encoding;
+  const auto lengths = ValuesOf(head.headers, "Content-Length");
+  if (!codings.empty()) {
+    const bool only_chunked = codings.size() == 1 && iequals(codings.front(), "chunked");
+    const bool allowed = head.version > kHttp10 && !IsInterim(head.status) &&
+                         head.status != kNoContent && lengths.empty();
+    if (!only_chunked || !allowed) return http::error::bad_transfer_encoding;
+  }
   if (IsInterim(head.status) && !lengths.empty()) return http::error::bad_content_length;
+  const bool announces_content = std::any_of(lengths.begin(), lengths.end(),
+                                             [](std::string_view value) { return value != "0"; });
+  if (head.status == kNoContent && announces_content) return http::error::bad_content_length;
   return {};
 }
 
--- a/src/bamboodock/transport/response_rule.h
+++ b/src/bamboodock/transport/response_rule.h
@@ -22,12 +22,15 @@
 /// Returns why the head is not one of a response to a request of this project; no error for a valid
 /// head.
 ///
-/// The requests ask for no protocol other than HTTP/1.1. Valid are:
+/// The requests ask for no protocol other than HTTP/1.1 and for no transfer coding. Valid are:
 ///
 /// - the final statuses 200 to 599 and the interim ones but for 101 (RFC 9110, section 15);
 /// - the version HTTP/1.x (RFC 9112, section 2.3);
 /// - fields whose values hold no control byte other than a tab (RFC 9110, section 5.5);
-/// - no length and no coding in interim responses (RFC 9112, section 6).
+/// - no transfer coding other than a single "chunked", and none in HTTP/1.0 (RFC 9112,
+/// section 6.1);
+/// - no length and no coding in interim responses, no coding and no content in those with 204
+///   (RFC 9112, section 6).
 ///
 /// The syntax of names and lengths is the matter of the HTTP library.
 SocketError CheckResponseHead(const ResponseHead& head);
--- a/test/command/router/broken_answers_test.cc
+++ b/test/command/router/broken_answers_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(BrokenStatusIsNotDelivered);
   CPPUNIT_TEST(InterimAnswerWithContentIsNotDelivered);
   CPPUNIT_TEST(BrokenFieldIsNotDelivered);
+  CPPUNIT_TEST(BrokenFramingIsNotDelivered);
   CPPUNIT_TEST(SoundAnswersAreDelivered);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +38,10 @@
   // against a head that ends at such a line.
   void BrokenFieldIsNotDelivered() { AssertNotDelivered(AnswersWithBrokenFields()); }
 
+  // Guards against a body that is cut at the wrong place or delivered in a coding that the caller
+  // does not expect.
+  void BrokenFramingIsNotDelivered() { AssertNotDelivered(AnswersWithBrokenFraming()); }
+
   // Guards against checks that refuse what HTTP allows.
   void SoundAnswersAreDelivered() {
     std::string failed;
