Take no lost connection for the end of an answer

Callers saw: a part of an answer without a length as a complete 200 (a 400 alike), when its endpoint reset the connection while a long request was still being sent. Unsafe, safe and stream routes, each time. Cause: the operating system reports a reset once. The write of the request learned of it and dropped it; the read then saw a plain end of the connection, which ends such a body. Change: the parser asks IsOrderlyEnd (response_rule.h) at the end of the connection. An error of the write means that the connection was lost, unless it is a broken pipe: the peer had ended its direction in order before. If the connection is lost and the write has not reported it yet, EndpointCall waits for it.

--- a/src/bamboodock/command/router/endpoint_call.cc
+++ b/src/bamboodock/command/router/endpoint_call.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 EndpointCall::EndpointCall(const asio::any_io_executor& executor, const AnswerLimits& limits)
-    : stream_(executor), parser_({limits.head, limits.interim_heads}) {}
+    : write_end_(executor), stream_(executor), parser_({limits.head, limits.interim_heads}) {}
 
 CallStatus EndpointCall::OnReadError(const SocketError& error) {
   if (cancelled_) return CallStatus::kCancelled;
@@ -88,7 +88,9 @@
   trace.sent_whole = serializer.is_done();
   if (self->cancelled_) trace.write_error = {};
   // A write error does not end the call: the endpoint may have answered without reading the whole
-  // request, and the read of the answer reports a broken connection.
+  // request. `OnConnectionEnd` decides whether such an answer is complete.
+  self->write_ended_ = true;
+  self->write_end_.cancel();
 }
 
 void EndpointCall::Send(Ref<const CallerRequest> request, std::vector<HttpHeader> added) {
@@ -141,6 +143,17 @@
   }
 }
 
+asio::awaitable<SocketError> EndpointCall::OnConnectionEnd(std::chrono::milliseconds timeout) {
+  // The write of a request on a lost connection fails at once, but its handler may not have run
+  // yet.
+  if (!write_ended_ && IsAborted(stream_.socket())) {
+    write_end_.expires_after(timeout);
+    SocketError ignored;
+    co_await write_end_.async_wait(CaptureError(ignored));
+  }
+  co_return parser_.OnConnectionEnd(trace_.write_error);
+}
+
 asio::awaitable<BodyChunk> EndpointCall::Read(std::chrono::milliseconds timeout) {
   BodyChunk chunk;
   if (!needs_more_) {
@@ -151,8 +164,9 @@
   SocketError error = co_await ReceiveSome(stream_, parser_);
   ParseBuffered(chunk);
   if (!error || chunk.status != CallStatus::kOk) co_return chunk;
-  if (error == asio::error::eof) error = parser_.OnConnectionEnd();
-  chunk.status = error ? OnReadError(error) : CallStatus::kEnd;
+  if (error == asio::error::eof) error = co_await OnConnectionEnd(timeout);
+  const bool ended = !error && !cancelled_;
+  chunk.status = ended ? CallStatus::kEnd : OnReadError(error);
   co_return chunk;
 }
 
--- a/src/bamboodock/command/router/endpoint_call.h
+++ b/src/bamboodock/command/router/endpoint_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <vector>
 
@@ -92,12 +93,17 @@
   CallStatus OnReadError(const SocketError& error);
   /// Parses the bytes received and adds those of the body to `chunk`.
   void ParseBuffered(BodyChunk& chunk);
+  /// Handles the end of the connection; no error when it completes the answer.
+  asio::awaitable<SocketError> OnConnectionEnd(std::chrono::milliseconds timeout);
   /// Sends the request. Holds a reference to the call, since the write may outlive the wait for the
   /// answer.
   static asio::awaitable<void> Write(Ref<EndpointCall> self, Ref<const CallerRequest> request,
                                      std::vector<HttpHeader> added);
 
   CallTrace trace_;
+  /// Cancelled when the write of the request ends.
+  asio::steady_timer write_end_;
+  bool write_ended_ = false;
   beast::tcp_stream stream_;
   Ref<LivenessMonitor> liveness_;
   ResponseParser parser_;
--- a/src/bamboodock/transport/async_socket.cc
+++ b/src/bamboodock/transport/async_socket.cc
@@ -31,6 +31,13 @@
   SetOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
 }
 
+bool IsAborted(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
+  return info.tcpi_state == TCP_CLOSE;
+}
+
 asio::awaitable<SocketError> Connect(beast::tcp_stream& stream, Address address,
                                      std::chrono::milliseconds timeout) {
   SocketError error;
--- a/src/bamboodock/transport/response_parser.cc
+++ b/src/bamboodock/transport/response_parser.cc
@@ -80,8 +80,9 @@
   return {};
 }
 
-SocketError ResponseParser::OnConnectionEnd() {
+SocketError ResponseParser::OnConnectionEnd(const SocketError& send_error) {
   if (!parser_ || !parser_->is_header_done()) return http::error::partial_message;
+  if (parser_->need_eof() && !IsOrderlyEnd(send_error)) return send_error;
   SocketError error;
   parser_->put_eof(error);
   return error;
--- a/src/bamboodock/transport/response_parser.h
+++ b/src/bamboodock/transport/response_parser.h
@@ -48,7 +48,9 @@
   /// Appends the bytes of the body that have been received; no error once the body is complete.
   SocketError ParseBody(std::string& body);
   /// Tells that the peer has ended the connection; no error when that completes the response.
-  SocketError OnConnectionEnd();
+  ///
+  /// @param send_error Error with which the write of the request ended, if it did.
+  SocketError OnConnectionEnd(const SocketError& send_error);
 
   /// Head of the final response, after `ParseHead`.
   const ResponseHead& head() const { return head_; }
--- a/src/bamboodock/transport/response_rule.cc
+++ b/src/bamboodock/transport/response_rule.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string_view>
 
@@ -73,4 +74,8 @@
   return {};
 }
 
+bool IsOrderlyEnd(const SocketError& send_error) {
+  return !send_error || send_error == boost::asio::error::broken_pipe;
+}
+
 }  // namespace bamboodock
--- a/src/bamboodock/transport/response_rule.h
+++ b/src/bamboodock/transport/response_rule.h
@@ -35,4 +35,14 @@
 /// The syntax of names and lengths is the matter of the HTTP library.
 SocketError CheckResponseHead(const ResponseHead& head);
 
+/// Whether the end of the connection ends a body that has no length and no chunks (RFC 9112,
+/// section 8): not when the connection was lost.
+///
+/// The operating system reports the loss of a connection once, to the read or to the write, and the
+/// other one sees a plain end. A peer that first ends its direction in order and is lost then makes
+/// the write fail with a broken pipe; the body was whole before.
+///
+/// @param send_error Error with which the write of the request ended, if it did.
+bool IsOrderlyEnd(const SocketError& send_error);
+
 }  // namespace bamboodock
