Read the store's answers with the rule for all answers

What was seen: an interim answer (103) was returned as the answer of its call, and on the kept connection the final answer could be taken for that of the next call. Heads with the status 000, 001, 099, 101, 600 and 999 were answers too. Cause: AsyncHttpChannel read with a parser of its own, which knows no interim answers and no range of the status. Change: it uses ResponseParser and ReceiveHead like EndpointCall. Evidence: AsyncHttpChannelTest on: BrokenAnswersAreRefused, SoundAnswersAreRead and AnswerBehindAnInterimOneBelongsToItsCall failed. Result: they pass, and StoreDutyTest.

--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -4,13 +4,15 @@
 #include <limits>
 #include <utility>
 
+#include "bamboodock/transport/response_receiver.h"
+
 namespace bamboodock {
 namespace {
 
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kConnectTimeout{700};
-constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 
 }  // namespace
 
@@ -20,12 +22,12 @@
 void AsyncHttpChannel::Close() {
   open_ = false;
   stream_.close();
-  buffer_.consume(buffer_.size());
+  parser_.Clear();
 }
 
 bool AsyncHttpChannel::HasUnreadBytes() {
   SocketError error;
-  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
+  return parser_.HasBytes() || stream_.socket().available(error) > 0;
 }
 
 void AsyncHttpChannel::SetServer(Address server) {
@@ -34,8 +36,19 @@
   Close();
 }
 
+asio::awaitable<SocketError> AsyncHttpChannel::ReadBody(std::string& body) {
+  SocketError error = parser_.ParseBody(body);
+  while (error == http::error::need_more) {
+    if (body.size() > kMaxResponseBytes) co_return http::error::body_limit;
+    error = co_await ReceiveSome(stream_, parser_);
+    if (error == asio::error::eof) co_return parser_.OnConnectionEnd({});
+    if (!error) error = parser_.ParseBody(body);
+  }
+  co_return error;
+}
+
 asio::awaitable<SocketError> AsyncHttpChannel::Exchange(const HttpRequest& request,
-                                                        HttpResponse& response, bool& keep_alive) {
+                                                        HttpResponse& response) {
   const std::string target =
       request.query.empty() ? request.path : request.path + "?" + request.query;
   http::request<http::string_body> message(http::string_to_verb(request.method), target, 11);
@@ -46,13 +59,11 @@
   SocketError error;
   co_await http::async_write(stream_, message, CaptureError(error));
   if (error) co_return error;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
-  co_await http::async_read(stream_, buffer_, parser, CaptureError(error));
+  parser_.Start();
+  error = co_await ReceiveHead(stream_, parser_);
   if (error) co_return error;
-  keep_alive = parser.keep_alive();
-  response.status = static_cast<int>(parser.get().result_int());
-  response.body = std::move(parser.get().body());
+  response.status = parser_.head().status;
+  error = co_await ReadBody(response.body);
   co_return error;
 }
 
@@ -70,9 +81,8 @@
   }
   stream_.expires_after(timeout);
   HttpResponse response;
-  bool keep_alive = false;
-  result.error = co_await Exchange(request, response, keep_alive);
-  if (result.error || !keep_alive) Close();
+  result.error = co_await Exchange(request, response);
+  if (result.error || !parser_.keep_alive()) Close();
   if (!result.error) result.response = std::move(response);
   co_return result;
 }
--- a/src/bamboodock/transport/async_http_channel.h
+++ b/src/bamboodock/transport/async_http_channel.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <optional>
 #include <string>
 
 #include "bamboodock/transport/async_socket.h"
 #include "bamboodock/transport/http_types.h"
+#include "bamboodock/transport/response_parser.h"
 
 namespace bamboodock {
 
@@ -33,12 +33,12 @@
  private:
   /// Whether bytes have arrived that belong to no call.
   bool HasUnreadBytes();
-  asio::awaitable<SocketError> Exchange(const HttpRequest& request, HttpResponse& response,
-                                        bool& keep_alive);
+  asio::awaitable<SocketError> Exchange(const HttpRequest& request, HttpResponse& response);
+  asio::awaitable<SocketError> ReadBody(std::string& body);
 
   Address server_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  ResponseParser parser_{ResponseLimits()};
   bool open_ = false;
 };
 
