Bound the memory of one answer of the store

What was seen: a store that sends a body without end, or extends the header of a chunk without end, made an entry keep 64 MB and more for each of its four connections; an entry has 120 MB. Cause: the limit of a body was 64 MB, and the buffer of the channel had none. A feed with more changes than that is listed again, which comes in pages.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -169,6 +169,8 @@
   if (!result.response) {
     if (watch.restarted) co_return std::nullopt;
     RecordFailure(watch, sent, result.error.message());
+    // Listings come in pages, so they get on where a feed has more changes than one answer holds.
+    if (IsLimitError(result.error)) watch.listed = false;
     co_return std::nullopt;
   }
   std::optional<StoreAnswer> answer = HandleFailure(
--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -12,7 +12,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kConnectTimeout{700};
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+/// Several times a page of the store, which has at most 1 MB of rows.
+constexpr std::size_t kMaxResponseBytes = 4U << 20U;
 
 }  // namespace
 
--- a/test/command/router/store_duty_test.cc
+++ b/test/command/router/store_duty_test.cc
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(ListsAndFollows);
   CPPUNIT_TEST(OddRowDoesNotStopTheOthers);
   CPPUNIT_TEST(ListsAgainAfterHistoryLoss);
+  CPPUNIT_TEST(ListsAgainAfterAFeedOverTheLimit);
   CPPUNIT_TEST(KeepsExpiredEndpointsForGracePeriod);
   CPPUNIT_TEST(EndpointThatLeavesAfterAnOutageIsRemovedInTime);
   CPPUNIT_TEST(RemovalAfterTheReturnIsNotHeldBack);
@@ -200,6 +201,25 @@
         [](RecordingListener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
   }
 
+  // Guards against a table that is never read again, since each call of its feed returns more than
+  // one answer may have.
+  void ListsAgainAfterAFeedOverTheLimit() {
+    auto lists = std::make_shared<std::atomic<int>>(0);
+    Run(
+        [lists](const auto& request, std::size_t) {
+          if (IsCallFor(request, "rows-get", "servers")) {
+            const bool first = (*lists)++ == 0;
+            return Keep(first ? Rows(EndpointRow("e1", 3), 3) : Rows(EndpointRow("e2", 9), 9));
+          }
+          if (IsCallFor(request, "rows-feed", "servers") && After(request) == 3) {
+            constexpr std::size_t kOverTheLimit = 8U << 20U;
+            return Keep(Rows(std::string(kOverTheLimit, ' '), 5));
+          }
+          return DefaultAnswer(request);
+        },
+        [](RecordingListener& listener) { CPPUNIT_ASSERT(listener.Await({"e2"})); });
+  }
+
   // Guards against an empty pool after an outage of the store during which registrations expired:
   // the endpoint is kept until it has had time to register again, and removed if it does not.
   void KeepsExpiredEndpointsForGracePeriod() {
--- a/test/transport/async_http_channel_test.cc
+++ b/test/transport/async_http_channel_test.cc
@@ -68,6 +68,8 @@
   CPPUNIT_TEST(BrokenAnswersAreRefused);
   CPPUNIT_TEST(SoundAnswersAreRead);
   CPPUNIT_TEST(AnswerBehindAnInterimOneBelongsToItsCall);
+  CPPUNIT_TEST(EndlessBodyIsGivenUp);
+  CPPUNIT_TEST(EndlessChunkExtensionIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +107,32 @@
     CPPUNIT_ASSERT_EQUAL(std::string("200 answer 0"), Describe(channel.Call()));
     CPPUNIT_ASSERT_EQUAL(std::string("200 answer 1"), Describe(channel.Call()));
   }
+
+  // Guards against the memory of an entry (120 MB) that is spent on one answer of the store, whose
+  // pages have at most 1 MB of rows.
+  void EndlessBodyIsGivenUp() {
+    AssertGivenUpWithin(8U << 20U, "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x'));
+  }
+
+  // Guards against memory that grows while the store extends a chunk's header without end.
+  void EndlessChunkExtensionIsGivenUp() {
+    AssertGivenUpWithin(8U << 20U, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                        std::string(65536, 'x'));
+  }
+
+ private:
+  /// The server must not be able to send more than `limit` bytes beyond what sockets hold.
+  static void AssertGivenUpWithin(std::size_t limit, const std::string& begin,
+                                  const std::string& part) {
+    constexpr std::size_t kSocketBytes = 16U << 20U;
+    ScriptedServer server([&](const auto&, std::size_t) {
+      return Answer{begin, ConnectionAction::kSendEndlessly, part};
+    });
+    ChannelFixture channel(server);
+    CPPUNIT_ASSERT_EQUAL(std::string("failed"), Describe(channel.Call()));
+    CPPUNIT_ASSERT_MESSAGE("bytes sent: " + std::to_string(server.bytes_sent()),
+                           server.bytes_sent() <= limit + kSocketBytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AsyncHttpChannelTest);
