Read the answers of engines, stores and peers with the rule for all answers

What was seen: HttpClient (sidecar, entry, operator programs, load tool) returned an interim answer (100, 103) as the final one and 101 as an answer, and refused sound ones with a chunk extension. An early answer that was whole was lost when its peer did not read the rest of the request. Cause: the response reader of CivetWeb has rules of its own. Change: HttpClient sends with Asio and reads with ResponseParser, on an event loop that runs only during a call. The failure is bad_message when the bytes are no answer; a request of which a part was sent counts as possibly run. Evidence: HttpClientTest on: BrokenAnswersAreRefused, SoundAnswersAreRead and BodyThatEndsInOrderDuringTheUploadIsRead failed. The two cases of a reset passed there already.

--- a/src/bamboodock/transport/http_client.cc
+++ b/src/bamboodock/transport/http_client.cc
@@ -1,19 +1,19 @@
 #include "bamboodock/transport/http_client.h"
 
-#include <civetweb.h>
-
-#include <algorithm>
-#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/write.hpp>
 #include <utility>
 
-#include "bamboodock/codec/json_nesting_tracker.h"
+#include "bamboodock/transport/response_receiver.h"
 
 namespace bamboodock {
 namespace {
 
-constexpr std::size_t kErrorBufferSize = 256;
-constexpr std::size_t kReadBufferSize = 16384;
-constexpr std::size_t kLineBufferSize = 64;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::seconds kConnectTimeout{10};
+/// Longest pause between bytes of a body.
+constexpr std::chrono::seconds kReadTimeout{30};
 
 std::string Encode(const HttpRequest& request, const Address& peer) {
   std::string text = request.method + " " + request.path;
@@ -26,83 +26,98 @@
   return text + request.body;
 }
 
-int Milliseconds(Duration duration) {
-  return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+asio::awaitable<SocketError> SendAll(beast::tcp_stream& stream, const std::string& bytes) {
+  SocketError error;
+  co_await asio::async_write(stream, asio::buffer(bytes), CaptureError(error));
+  co_return error;
 }
 
 }  // namespace
 
-HttpStream::~HttpStream() {
-  if (connection_ != nullptr) mg_close_connection(connection_);
+SocketError HttpStream::Run(asio::awaitable<SocketError> operation) {
+  SocketError result;
+  asio::co_spawn(loop_, std::move(operation),
+                 [&result](const std::exception_ptr& thrown, const SocketError& error) {
+                   result = thrown ? SocketError(asio::error::invalid_argument) : error;
+                 });
+  loop_.restart();
+  loop_.run();
+  return result;
+}
+
+SocketError HttpStream::Connect(const Address& peer) {
+  return Run(bamboodock::Connect(stream_, peer, kConnectTimeout));
+}
+
+void HttpStream::Send(const std::string& request, Duration timeout) {
+  stream_.expires_after(timeout);
+  send_error_ = Run(SendAll(stream_, request));
+}
+
+SocketError HttpStream::ReadHead(bool head_only, Duration timeout) {
+  parser_.Start(head_only);
+  stream_.expires_after(timeout);
+  return Run(ReceiveHead(stream_, parser_));
+}
+
+SocketError HttpStream::ReadBody() {
+  const SocketError error = parser_.ParseBody(body_);
+  if (error != http::error::need_more) return error;
+  stream_.expires_after(kReadTimeout);
+  const SocketError received = Run(ReceiveSome(stream_, parser_));
+  if (received == asio::error::eof) return parser_.OnConnectionEnd(send_error_);
+  if (received) return received;
+  return parser_.ParseBody(body_);
 }
 
 bool HttpStream::ReadLine(std::string& line) {
-  line.clear();
-  JsonNestingTracker nesting;
-  std::array<char, kLineBufferSize> buffer{};
+  SocketError error = http::error::need_more;
+  std::size_t searched = 0;
   while (true) {
-    // `mg_read` returns only when the buffer is full, so each read asks for no more than this line
-    // must still contain: the rest of its JSON text, or one byte.
-    const std::size_t max_bytes =
-        std::clamp<std::size_t>(nesting.min_remaining_bytes(), 1, buffer.size());
-    const int count = mg_read(connection_, buffer.data(), max_bytes);
-    if (count <= 0) return false;
-    for (int i = 0; i < count; ++i) {
-      const char byte = buffer[static_cast<std::size_t>(i)];
-      if (byte == '\n') return true;
-      line.push_back(byte);
-      nesting.Feed(byte);
+    const std::size_t end = body_.find('\n', searched);
+    if (end != std::string::npos) {
+      line = body_.substr(0, end);
+      body_.erase(0, end + 1);
+      return true;
     }
+    searched = body_.size();
+    if (error != http::error::need_more) return false;
+    error = ReadBody();
   }
 }
 
 Result<std::string> HttpStream::ReadAll(Bytes limit) {
-  std::string body;
-  std::array<char, kReadBufferSize> buffer{};
-  int count = 0;
-  while ((count = mg_read(connection_, buffer.data(), buffer.size())) > 0) {
-    body.append(buffer.data(), static_cast<std::size_t>(count));
-    if (body.size() > limit.value()) {
+  SocketError error = http::error::need_more;
+  while (error == http::error::need_more) {
+    error = ReadBody();
+    if (body_.size() > limit.value()) {
       return Raise(ResultCode::kBodyTooLarge, "response body exceeds the size limit of the call",
                    RunState::kRan);
     }
   }
-  const bool truncated =
-      content_length_ >= 0 && body.size() < static_cast<std::size_t>(content_length_);
-  if (count < 0 || truncated) {
-    return Raise(ResultCode::kAnswerIncomplete,
-                 "response body truncated by a read error or shorter than its Content-Length",
+  if (error) {
+    return Raise(ResultCode::kAnswerIncomplete, "response body incomplete: " + error.message(),
                  RunState::kUnknown);
   }
-  return body;
+  return std::move(body_);
 }
 
 Result<std::unique_ptr<HttpStream>> HttpClient::Open(const HttpRequest& request,
                                                      Duration timeout) const {
-  std::array<char, kErrorBufferSize> error{};
-  mg_connection* connection =
-      mg_connect_client(peer_.ip.c_str(), peer_.port, 0, error.data(), error.size());
-  if (connection == nullptr) {
-    return Raise(ResultCode::kConnectionFailed, "cannot connect to " + peer_.ToString());
-  }
   std::unique_ptr<HttpStream> stream(new HttpStream());
-  stream->connection_ = connection;
-  const std::string text = Encode(request, peer_);
-  if (mg_write(connection, text.data(), text.size()) <= 0) {
-    return Raise(ResultCode::kConnectionFailed, "cannot send the request to " + peer_.ToString(),
-                 RunState::kUnknown);
-  }
-  if (mg_get_response(connection, error.data(), error.size(), Milliseconds(timeout)) < 0) {
-    return Raise(ResultCode::kConnectionSilent, "no response headers from " + peer_.ToString(),
-                 RunState::kUnknown);
+  if (stream->Connect(peer_)) {
+    return Raise(ResultCode::kConnectionFailed, "cannot connect to " + peer_.ToString());
   }
-  const mg_response_info& info = *mg_get_response_info(connection);
-  stream->status_ = info.status_code;
-  stream->content_length_ = info.content_length;
-  for (int i = 0; i < info.num_headers; ++i) {
-    stream->headers_.push_back({info.http_headers[i].name, info.http_headers[i].value});
+  stream->Send(Encode(request, peer_), timeout);
+  const SocketError error = stream->ReadHead(request.method == "HEAD", timeout);
+  if (!error) return stream;
+  const std::string cause = (stream->send_error_ ? stream->send_error_ : error).message();
+  if (IsInvalidHttp(error)) {
+    return Raise(ResultCode::kBadMessage,
+                 "no valid response from " + peer_.ToString() + ": " + cause, RunState::kUnknown);
   }
-  return stream;
+  return Raise(ResultCode::kConnectionSilent,
+               "no response headers from " + peer_.ToString() + ": " + cause, RunState::kUnknown);
 }
 
 Result<HttpResponse> HttpClient::Call(const HttpRequest& request, Duration timeout) const {
