Bound the memory of one line of an engine's stream

What was seen: a line without end was kept in memory until its connection ended: 67 MB of 67 MB sent. Cause: HttpStream::ReadLine had no limit. Change: a line has at most 256 KiB, as an event has in the router; a longer one ends the stream as broken. Result: HttpClientTest passes.

--- a/src/bamboodock/transport/http_client.cc
+++ b/src/bamboodock/transport/http_client.cc
@@ -81,7 +81,7 @@
       return true;
     }
     searched = body_.size();
-    if (error != http::error::need_more) return false;
+    if (error != http::error::need_more || searched > kMaxLine.value()) return false;
     error = ReadBody();
   }
 }
--- a/src/bamboodock/transport/http_client.h
+++ b/src/bamboodock/transport/http_client.h
@@ -26,8 +26,8 @@
   int status() const { return parser_.head().status; }
   const std::vector<HttpHeader>& headers() const { return parser_.head().headers; }
 
-  /// Reads the next line, without its newline; false at the end of the body, on an error or when no
-  /// bytes arrive for 30 s.
+  /// Reads the next line, without its newline; false at the end of the body, on an error, when no
+  /// bytes arrive for 30 s or when the line is longer than `kMaxLine`.
   bool ReadLine(std::string& line);
   /// Reads the rest of the body.
   ///
@@ -35,6 +35,9 @@
   /// not valid HTTP, or no bytes arrive for 30 s.
   Result<std::string> ReadAll(Bytes limit);
 
+  /// Longest line that `ReadLine` returns.
+  static constexpr Bytes kMaxLine{262144};
+
  private:
   friend class HttpClient;
   HttpStream() = default;
--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(BodyCutByAResetIsIncomplete);
   CPPUNIT_TEST(BodyCutByAResetDuringTheUploadIsIncomplete);
   CPPUNIT_TEST(BodyThatEndsInOrderDuringTheUploadIsRead);
+  CPPUNIT_TEST(EndlessLineIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -96,7 +97,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string("200 whole"), Call(server, LongRequest()));
   }
 
+  // Guards against memory that grows while an engine sends a line without end.
+  void EndlessLineIsGivenUp() {
+    constexpr std::size_t kSocketBytes = 16U << 20U;
+    ScriptedServer server(Sends(AnswerFramedBy("", std::string(4 * kSocketBytes, 'x'))));
+    HandleFailure(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(stream, HttpClient(server.address()).Open({}, kTimeout));
+          std::string line;
+          CPPUNIT_ASSERT(!stream->ReadLine(line));
+          return {};
+        },
+        [](const Failure& failure) { CPPUNIT_FAIL(failure.detail); });
+    // The server counts what it has sent when its write ends.
+    for (int polls = 0; server.bytes_sent() == 0 && polls < 1000; ++polls) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_MESSAGE("bytes sent: " + std::to_string(server.bytes_sent()),
+                           server.bytes_sent() <= kMaxLine + kSocketBytes);
+  }
+
  private:
+  /// Largest line that a client may keep.
+  static constexpr std::size_t kMaxLine = 1U << 20U;
+
   static HttpRequest LongRequest() {
     // More than the send buffer of a socket and the receive buffer of the server hold.
     constexpr std::size_t kBodyBytes = 4194304;
