--- a/test/process/caller_flood_test.cc
+++ b/test/process/caller_flood_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "process/support/caller_crowd.h"
+#include "process/support/host_check.h"
 #include "process/support/single_router.h"
 
 namespace bamboodock::process_test {
@@ -51,7 +52,7 @@
   void LargestBodyIsServedInCalm() {
     SingleRouter router("flood-calm", host_);
     CPPUNIT_ASSERT_EQUAL(200, router.Request("calm", std::string(kMaxBody, 'x')));
-    CheckHost(router);
+    CheckHost(router, host_);
   }
 
   // Guards against trailers that are kept in memory without a bound.
@@ -138,36 +139,13 @@
   /// Together 96 MB of bodies for a host with 64 MB.
   static constexpr std::size_t kUploads = 96;
 
-  /// Waits until the router has read what the crowd sent, as far as it does.
-  static void AwaitSteadyMemory(SingleRouter& router) {
-    constexpr int kSteadyPolls = 25;
-    Bytes peak;
-    int steady = 0;
-    WaitFor([&] {
-      const Bytes now = router.process().PeakMemory();
-      steady = now == peak ? steady + 1 : 0;
-      peak = now;
-      return steady >= kSteadyPolls;
-    });
-  }
-
   void Check(SingleRouter& router) const {
     AwaitSteadyMemory(router);
     const int during = router.Request("during");
-    CheckHost(router);
+    CheckHost(router, host_);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("answer to an ordinary request", 200, during);
   }
 
-  void CheckHost(SingleRouter& router) const {
-    CPPUNIT_ASSERT_MESSAGE("the router has ended", router.process().IsRunning());
-    const std::uint64_t memory = router.process().PeakMemory().value();
-    CPPUNIT_ASSERT_MESSAGE("peak memory in bytes: " + std::to_string(memory),
-                           memory <= host_.memory_mb * kMegabyte);
-    const std::size_t descriptors = router.process().OpenDescriptors();
-    CPPUNIT_ASSERT_MESSAGE("open descriptors: " + std::to_string(descriptors),
-                           descriptors <= host_.descriptors);
-  }
-
   SmallHost host_;
 };
 
--- a/test/process/support/single_router.cc
+++ b/test/process/support/single_router.cc
@@ -53,10 +53,13 @@
           "\r\nX-Bamboodock-Response-Stamp: s\r\nContent-Length: 6\r\n\r\nanswer"};
 }
 
-SingleRouter::SingleRouter(const std::string& name, const SmallHost& host)
-    : endpoint_([](const auto& request, std::size_t) { return AnswerRequest(request); }) {
+SingleRouter::SingleRouter(const std::string& name, const SmallHost& host,
+                           const ScriptedServer::Script& script, std::size_t endpoints) {
   store_.AddRow("op", "config", Configuration(host));
-  store_.AddRow("servers", "i-1", Registration(endpoint_.address()));
+  for (std::size_t i = 1; i <= endpoints; ++i) {
+    endpoints_.push_back(std::make_unique<ScriptedServer>(script));
+    store_.AddRow("servers", "i-" + std::to_string(i), Registration(endpoints_.back()->address()));
+  }
   const std::string ports = std::to_string(FreeAddress().port);
   process_ = std::make_unique<ChildProcess>(
       BinaryFolder() + "bamboodock-router",
--- a/test/process/support/single_router.h
+++ b/test/process/support/single_router.h
@@ -20,27 +20,35 @@
   Bytes max_header{16384};
 };
 
-/// Router as a process of its own on 127.0.0.1, with a store and one endpoint in this process.
+/// Router as a process of its own on 127.0.0.1, with a store and endpoints in this process.
 ///
-/// The endpoint answers each request with 200. Requests need no API key.
+/// Requests need no API key.
 class SingleRouter {
  public:
   /// Starts the router and waits until it serves; throws when it does not.
-  SingleRouter(const std::string& name, const SmallHost& host);
+  ///
+  /// @param script How the endpoints answer.
+  SingleRouter(const std::string& name, const SmallHost& host,
+               const ScriptedServer::Script& script = AnswerEachRequest(),
+               std::size_t endpoints = 1);
 
   const Address& callers() const { return callers_; }
   ChildProcess& process() { return *process_; }
-  /// Head of a request to the endpoint's route, without the blank line at its end.
+  /// Answers a request with 200.
+  static ScriptedServer::Answer AnswerRequest(const ScriptedServer::Request& request);
+  static ScriptedServer::Script AnswerEachRequest() {
+    return [](const auto& request, std::size_t) { return AnswerRequest(request); };
+  }
+  /// Head of a request to the endpoints' route, without the blank line at its end.
   static std::string RequestHead(const std::string& attempt);
   /// Sends an ordinary request on a new connection; returns the status of its answer, 0 when there
   /// is none.
   int Request(const std::string& attempt, const std::string& body = "body") const;
 
  private:
-  static ScriptedServer::Answer AnswerRequest(const ScriptedServer::Request& request);
   static Address FreeAddress();
 
-  ScriptedServer endpoint_;
+  std::vector<std::unique_ptr<ScriptedServer>> endpoints_;
   FakeStore store_;
   Address callers_ = FreeAddress();
   std::unique_ptr<ChildProcess> process_;
