--- a/src/bamboodock/transport/async_socket.h
+++ b/src/bamboodock/transport/async_socket.h
@@ -40,8 +40,8 @@
 /// peers that may read a long message late: the operating system does not tell them from lost ones.
 void FailWhenUnacknowledged(asio::ip::tcp::socket& socket, std::chrono::seconds timeout);
 
-/// Whether the connection was lost: reset, or given up by the operating system. False when one or
-/// both ends have only ended their direction in order.
+/// Whether the connection was lost: reset, or given up by the operating system. False when the peer
+/// has only ended its direction in order.
 bool IsAborted(asio::ip::tcp::socket& socket);
 
 /// Opens a connection and configures it with `kPeerTimeout`; fails unless it is open within
--- a/src/bamboodock/transport/http_client.cc
+++ b/src/bamboodock/transport/http_client.cc
@@ -117,7 +117,7 @@
                  "no valid response from " + peer_.ToString() + ": " + cause, RunState::kUnknown);
   }
   return Raise(ResultCode::kConnectionSilent,
-               "no response headers from " + peer_.ToString() + ": " + cause, RunState::kUnknown);
+               "no response head from " + peer_.ToString() + ": " + cause, RunState::kUnknown);
 }
 
 Result<HttpResponse> HttpClient::Call(const HttpRequest& request, Duration timeout) const {
--- a/src/bamboodock/transport/http_client.h
+++ b/src/bamboodock/transport/http_client.h
@@ -69,10 +69,10 @@
 
   /// Sends a request and reads the whole response.
   ///
-  /// Fails with `kConnectionFailed` when the connection failed (run state `kNotRun`) or the write
-  /// did, with `kConnectionSilent` when no response head came within `timeout` and with
-  /// `kBadMessage` when the bytes received are no valid one; a body fails as in
-  /// `HttpStream::ReadAll`.
+  /// Fails with `kConnectionFailed` (run state `kNotRun`) when no connection could be opened, and
+  /// with run state `kUnknown` otherwise: with `kConnectionSilent` when no response head came
+  /// within `timeout` or the connection was lost, with `kBadMessage` when the bytes received are
+  /// not valid HTTP. A body fails as in `HttpStream::ReadAll`.
   Result<HttpResponse> Call(const HttpRequest& request, Duration timeout) const;
 
   /// Sends a request and returns once the response head has been read; fails as `Call` does.
