--- a/test/transport/async_http_channel_test.cc
+++ b/test/transport/async_http_channel_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "fakes/broken_answers.h"
@@ -16,6 +17,10 @@
 
 constexpr std::chrono::seconds kTimeout{10};
 
+asio::awaitable<void> CallInto(AsyncHttpChannel& channel, HttpExchangeResult& result) {
+  result = co_await channel.Call(HttpRequest(), kTimeout);
+}
+
 /// Channel on an event loop of its own.
 class ChannelFixture {
  public:
@@ -24,10 +29,7 @@
 
   HttpExchangeResult Call() {
     HttpExchangeResult result;
-    asio::co_spawn(loop_, channel_.Call(HttpRequest(), kTimeout),
-                   [&result](const std::exception_ptr& /*none*/, HttpExchangeResult received) {
-                     result = std::move(received);
-                   });
+    asio::co_spawn(loop_, CallInto(channel_, result), asio::detached);
     loop_.restart();
     loop_.run();
     return result;
