Review: format the stand-ins

Cause: the stand-ins weren't in the style of the repository. Result: they build; the cases weren't run again for it.

--- a/review/stand-in-3/cases.h
+++ b/review/stand-in-3/cases.h
@@ -13,10 +13,9 @@
 void PlayUnframed(Record& record, const std::string& folder);
 
 using Play = void (*)(Record& record, const std::string& folder);
-inline constexpr std::pair<const char*, Play> kCases[]{
-    {"drill", PlayDrill},
-    {"limits", PlayLimits},
-    {"prompt", PlayPrompt},
-    {"unframed", PlayUnframed}};
+inline constexpr std::pair<const char*, Play> kCases[]{{"drill", PlayDrill},
+                                                       {"limits", PlayLimits},
+                                                       {"prompt", PlayPrompt},
+                                                       {"unframed", PlayUnframed}};
 
 }  // namespace review
--- a/review/stand-in-3/drill.cc
+++ b/review/stand-in-3/drill.cc
@@ -36,9 +36,9 @@
   const auto client = [&](const std::string& name, const std::string& key) {
     for (int i = 0; !stop; ++i) {
       const std::string attempt = name + "-" + std::to_string(i);
-      const Outcome outcome = Ask(router.callers(), attempt, "GET /a/1",
-                                  "X-Api-Key: " + key + "\r\nX-Bamboodock-Time-Left-Ms: 3000\r\n",
-                                  3000);
+      const Outcome outcome =
+          Ask(router.callers(), attempt, "GET /a/1",
+              "X-Api-Key: " + key + "\r\nX-Bamboodock-Time-Left-Ms: 3000\r\n", 3000);
       record("answer attempt=%s key=%s sent=%lld status=%d", attempt.c_str(), key.c_str(),
              static_cast<long long>(outcome.sent), outcome.status);
       {
--- a/review/stand-in-3/limits.cc
+++ b/review/stand-in-3/limits.cc
@@ -31,10 +31,11 @@
   const auto ask = [&](Stream& stream, const std::string& attempt, std::size_t size) {
     ++requests;
     const std::int64_t sent = T();
-    stream.Write("POST /a/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-a\r\n"
-                 "X-Bamboodock-Time-Left-Ms: 3000\r\nX-Bamboodock-Attempt-Id: " + attempt +
-                 "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
-                 std::string(size, 'b'));
+    stream.Write(
+        "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-a\r\n"
+        "X-Bamboodock-Time-Left-Ms: 3000\r\nX-Bamboodock-Attempt-Id: " +
+        attempt + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+        std::string(size, 'b'));
     const auto answer = stream.Read(NowMs() + 3000);
     const int status = answer ? answer->Status() : 0;
     record("answer attempt=%s body=%zu sent=%lld status=%d", attempt.c_str(), size,
--- a/review/stand-in-3/net.h
+++ b/review/stand-in-3/net.h
@@ -5,9 +5,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -19,7 +21,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <strings.h>
 #include <thread>
 #include <vector>
 
--- a/review/stand-in-3/platform.h
+++ b/review/stand-in-3/platform.h
@@ -134,9 +134,8 @@
     std::unique_lock lock(mutex_);
     if (after > state_.ver) return 410;
     const std::uint64_t era = era_;
-    changed_.wait_for(lock, wait, [&] {
-      return era_ != era || !RowsOf(table, after, true).empty();
-    });
+    changed_.wait_for(lock, wait,
+                      [&] { return era_ != era || !RowsOf(table, after, true).empty(); });
     if (after > state_.ver) return 410;
     body["rows"] = RowsOf(table, after, true);
     return 200;
@@ -183,8 +182,8 @@
       const std::string text = body.dump();
       const bool sent = stream.Write(
           "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n" +
-          "Store-Era: " + std::to_string(era) + "\r\nContent-Length: " +
-          std::to_string(text.size()) + "\r\n\r\n" + text);
+          "Store-Era: " + std::to_string(era) +
+          "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
       if (!sent) return;
     }
   }
--- a/review/stand-in-3/process_runner.cc
+++ b/review/stand-in-3/process_runner.cc
@@ -27,12 +27,13 @@
         if (!request) return;
         const std::string expected = request->Header("X-Bamboodock-Expect-Instance");
         if (!expected.empty() && expected != id) {
-          stream.Write("HTTP/1.1 421 X\r\nX-Bamboodock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+          stream.Write(
+              "HTTP/1.1 421 X\r\nX-Bamboodock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
           return;
         }
         const std::string attempt = request->Header("X-Bamboodock-Attempt-Id");
-        const bool deadly = request->Header("X-Bamboodock-Prompt-Prefix").find(kDeadlyPart) !=
-                            std::string::npos;
+        const bool deadly =
+            request->Header("X-Bamboodock-Prompt-Prefix").find(kDeadlyPart) != std::string::npos;
         Say((deadly ? "deadly " : "sound ") + attempt);
         SleepMs(kFirstEventMs);
         stream.Write(Runner::Head(*request, 200,
@@ -92,9 +93,15 @@
         record_("runner=%s %s", id_.c_str(), line.c_str());
         if (line == "up") {
           platform_.Put("servers", id_,
-                        {{"service", "s1"}, {"address", "127.0.0.1:" + std::to_string(port_)},
-                         {"zone", "z1"}, {"version", "v1"}, {"slots", 64}, {"state", "ready"},
-                         {"coldRemainingMs", 0}, {"sequence", ++sequence_}, {"born", born}});
+                        {{"service", "s1"},
+                         {"address", "127.0.0.1:" + std::to_string(port_)},
+                         {"zone", "z1"},
+                         {"version", "v1"},
+                         {"slots", 64},
+                         {"state", "ready"},
+                         {"coldRemainingMs", 0},
+                         {"sequence", ++sequence_},
+                         {"born", born}});
         }
         if (line.starts_with("deadly")) {
           const std::lock_guard lock(mutex_);
--- a/review/stand-in-3/prompt.cc
+++ b/review/stand-in-3/prompt.cc
@@ -70,12 +70,12 @@
   const auto ask = [&](const std::string& parts) {
     const std::string attempt = "a-" + std::to_string(number++);
     clients.emplace_back([&, attempt, parts] {
-      const Outcome outcome =
-          Ask(router.callers(), attempt, "POST /a/1",
-              "X-Api-Key: key-a\r\nX-Bamboodock-Time-Left-Ms: 15000\r\n"
-              "X-Bamboodock-Model: m1\r\nX-Bamboodock-Token-Counts: 700,50\r\n"
-              "X-Bamboodock-Prompt-Prefix: " + parts + "\r\n",
-              15000);
+      const Outcome outcome = Ask(router.callers(), attempt, "POST /a/1",
+                                  "X-Api-Key: key-a\r\nX-Bamboodock-Time-Left-Ms: 15000\r\n"
+                                  "X-Bamboodock-Model: m1\r\nX-Bamboodock-Token-Counts: 700,50\r\n"
+                                  "X-Bamboodock-Prompt-Prefix: " +
+                                      parts + "\r\n",
+                                  15000);
       if (outcome.status == 200 && outcome.whole) ++served;
       record("answer attempt=%s parts=%s sent=%lld status=%d whole=%d after=%lld", attempt.c_str(),
              parts.c_str(), static_cast<long long>(outcome.sent), outcome.status, outcome.whole,
@@ -104,9 +104,10 @@
     for (const std::int64_t at : arrivals) late += at > crashes[4] + kContactMs ? 1 : 0;
     record("fifth crash at %lld", static_cast<long long>(crashes[4]));
   }
-  record("crashes=%zu, requests with the part that reached a runner over %lld ms after the fifth: "
-         "%d, served=%d",
-         crashes.size(), static_cast<long long>(kContactMs), late, served.load());
+  record(
+      "crashes=%zu, requests with the part that reached a runner over %lld ms after the fifth: "
+      "%d, served=%d",
+      crashes.size(), static_cast<long long>(kContactMs), late, served.load());
   if (late > 3) End(record, 1);
   End(record, served > 0 ? 0 : 2);
 }
--- a/review/stand-in-3/scene.h
+++ b/review/stand-in-3/scene.h
@@ -153,14 +153,24 @@
       break;
     }
     std::map<std::string, std::string> fields{
-        {"node", host_}, {"zone", zone_}, {"listen.front", "127.0.0.1:" + std::to_string(callers_)},
-        {"listen.ready", "127.0.0.1:" + std::to_string(readiness_)}, {"ip", "127.0.0.1"},
+        {"node", host_},
+        {"zone", zone_},
+        {"listen.front", "127.0.0.1:" + std::to_string(callers_)},
+        {"listen.ready", "127.0.0.1:" + std::to_string(readiness_)},
+        {"ip", "127.0.0.1"},
         {"internalPorts", std::to_string(internal_) + "," + std::to_string(internal_ + 15)},
-        {"platform.address", store_}, {"bounds.retryBudgetRatio", "0.9"},
-        {"bounds.budgetExtra", "56"}, {"bounds.budgetWindowS", "10"},
-        {"bounds.exposureShare", "0.15"}, {"bounds.exposureTolerance", "30"},
-        {"bounds.coldOverrun", "1.5"}, {"bounds.coldTolerance", "5"}, {"bounds.revokeMs", "5000"},
-        {"bounds.sessionS", "5"}, {"bounds.graceS", "8"}, {"limits.memoryMb", "260"},
+        {"platform.address", store_},
+        {"bounds.retryBudgetRatio", "0.9"},
+        {"bounds.budgetExtra", "56"},
+        {"bounds.budgetWindowS", "10"},
+        {"bounds.exposureShare", "0.15"},
+        {"bounds.exposureTolerance", "30"},
+        {"bounds.coldOverrun", "1.5"},
+        {"bounds.coldTolerance", "5"},
+        {"bounds.revokeMs", "5000"},
+        {"bounds.sessionS", "5"},
+        {"bounds.graceS", "8"},
+        {"limits.memoryMb", "260"},
         {"limits.maxFds", "4100"}};
     std::ifstream from("deploy/router.flags");
     std::stringstream read;
@@ -219,9 +229,15 @@
   const std::string& id() const { return id_; }
   void Register(const std::string& state = "ready") {
     platform_.Put("servers", id_,
-                  {{"service", service_}, {"address", server_.address()}, {"zone", "z1"},
-                   {"version", "v1"}, {"slots", slots_}, {"state", state}, {"coldRemainingMs", 0},
-                   {"sequence", ++sequence_}, {"born", born_.load()}});
+                  {{"service", service_},
+                   {"address", server_.address()},
+                   {"zone", "z1"},
+                   {"version", "v1"},
+                   {"slots", slots_},
+                   {"state", state},
+                   {"coldRemainingMs", 0},
+                   {"sequence", ++sequence_},
+                   {"born", born_.load()}});
   }
   /// Crashes: all channels are reset and new ones too, until `Restart`.
   void Crash() { server_.set_down(true); }
@@ -238,8 +254,9 @@
   Record& record() { return record_; }
 
   static std::string Head(const Message& request, int status, const std::string& more) {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Bamboodock-Attempt-Id: " +
-           request.Header("X-Bamboodock-Attempt-Id") + "\r\n" + more + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nX-Bamboodock-Attempt-Id: " + request.Header("X-Bamboodock-Attempt-Id") + "\r\n" +
+           more + "\r\n";
   }
   static constexpr const char* kStamp =
       "X-Bamboodock-Response-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
@@ -328,22 +345,31 @@
 
 inline Json Route(const std::string& name, const std::string& prefix, const std::string& kind,
                   const std::string& service, int timeout_ms, int target_ms, int attempts) {
-  return {{"name", name}, {"host", "h.example"}, {"prefix", prefix}, {"kind", kind},
-          {"timeoutMs", timeout_ms}, {"targetLatencyMs", target_ms}, {"priority", 1},
-          {"service", service}, {"maxAttempts", attempts}, {"public", false},
-          {"resumable", false}};
+  return {{"name", name},    {"host", "h.example"},     {"prefix", prefix},
+          {"kind", kind},    {"timeoutMs", timeout_ms}, {"targetLatencyMs", target_ms},
+          {"priority", 1},   {"service", service},      {"maxAttempts", attempts},
+          {"public", false}, {"resumable", false}};
 }
 
 inline Json Config(int version, const std::vector<Json>& routes,
                    const std::vector<std::string>& services,
                    const std::map<std::string, std::vector<std::string>>& tenants) {
-  Json config{{"version", version}, {"routes", routes}, {"services", Json::array()},
-              {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304},
-                          {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+  Json config{{"version", version},
+              {"routes", routes},
+              {"services", Json::array()},
+              {"limits",
+               {{"maxHeaderBytes", 16384},
+                {"maxBodyBytes", 4194304},
+                {"headerTimeoutMs", 3000},
+                {"idleTimeoutMs", 15000}}}};
   for (const std::string& service : services) {
-    config["services"].push_back({{"name", service}, {"healthPath", "/health"},
-                                  {"maxConnections", 110}, {"protocol", "h1"}, {"tls", false},
-                                  {"coldS", 0.0}, {"coldPerS", 0.0}});
+    config["services"].push_back({{"name", service},
+                                  {"healthPath", "/health"},
+                                  {"maxConnections", 110},
+                                  {"protocol", "h1"},
+                                  {"tls", false},
+                                  {"coldS", 0.0},
+                                  {"coldPerS", 0.0}});
   }
   if (!tenants.empty()) config["tenants"] = Json::array();
   for (const auto& [name, keys] : tenants) {
--- a/review/stand-in-3/unframed.cc
+++ b/review/stand-in-3/unframed.cc
@@ -17,8 +17,8 @@
   platform.Put("op", "config", Config(1, {route}, {"s1"}, {{"a", {"key-a"}}}));
   std::vector<std::unique_ptr<ProcessRunner>> runners;
   for (int i = 1; i <= kRunners; ++i) {
-    runners.push_back(std::make_unique<ProcessRunner>(platform, record, "i-" + std::to_string(i),
-                                                      kDownMs));
+    runners.push_back(
+        std::make_unique<ProcessRunner>(platform, record, "i-" + std::to_string(i), kDownMs));
   }
   Router router("front-1", "z1", platform.address(), folder);
   if (!router.Start()) End(record, 2);
@@ -29,12 +29,12 @@
   std::atomic<int> served{0};
   const auto ask = [&](const std::string& attempt, const std::string& parts) {
     clients.emplace_back([&, attempt, parts] {
-      const Outcome outcome =
-          Ask(router.callers(), attempt, "POST /a/1",
-              "X-Api-Key: key-a\r\nX-Bamboodock-Time-Left-Ms: 15000\r\n"
-              "X-Bamboodock-Model: m1\r\nX-Bamboodock-Token-Counts: 700,50\r\n"
-              "X-Bamboodock-Prompt-Prefix: " + parts + "\r\n",
-              15000);
+      const Outcome outcome = Ask(router.callers(), attempt, "POST /a/1",
+                                  "X-Api-Key: key-a\r\nX-Bamboodock-Time-Left-Ms: 15000\r\n"
+                                  "X-Bamboodock-Model: m1\r\nX-Bamboodock-Token-Counts: 700,50\r\n"
+                                  "X-Bamboodock-Prompt-Prefix: " +
+                                      parts + "\r\n",
+                                  15000);
       if (outcome.status == 200 && outcome.whole) ++served;
       record("answer attempt=%s parts=%s sent=%lld status=%d whole=%d after=%lld", attempt.c_str(),
              parts.c_str(), static_cast<long long>(outcome.sent), outcome.status, outcome.whole,
@@ -66,9 +66,10 @@
       }
     }
   }
-  record("crashes=%zu, requests with the part that reached a runner over %lld ms after the fifth: "
-         "%d, answers served=%d",
-         crashes.size(), static_cast<long long>(kContactMs), late, served.load());
+  record(
+      "crashes=%zu, requests with the part that reached a runner over %lld ms after the fifth: "
+      "%d, answers served=%d",
+      crashes.size(), static_cast<long long>(kContactMs), late, served.load());
   if (late > 3) End(record, 1);
   End(record, served > 0 ? 0 : 2);
 }
