Review, case 12: a crashing prompt part closes its whole route

Cause: answers without framing and with fewer than four events clear no part, while the parts of sound requests at a crashed runner are blamed.

--- a/review/stand-in-3/driver.cc
+++ b/review/stand-in-3/driver.cc
@@ -6,8 +6,9 @@
 #include "process_runner.h"
 
 int main(int argc, char** argv) {
-  if (argc == 4 && std::string(argv[1]) == "--engine") {
-    return review::RunEngineProcess(argv[2], static_cast<std::uint16_t>(std::atoi(argv[3])));
+  if (argc == 7 && std::string(argv[1]) == "--engine") {
+    const review::EngineTimes times{std::atoi(argv[4]), std::atoi(argv[5]), std::atoi(argv[6])};
+    return review::RunEngineProcess(argv[2], static_cast<std::uint16_t>(std::atoi(argv[3])), times);
   }
   if (argc != 3) {
     std::fprintf(stderr, "usage: review-driver CASE FOLDER\n");
--- a/review/stand-in-3/process_runner.cc
+++ b/review/stand-in-3/process_runner.cc
@@ -7,11 +7,6 @@
 namespace review {
 namespace {
 
-/// Time to the first event of a short prompt.
-constexpr std::int64_t kFirstEventMs = 40;
-constexpr std::int64_t kEventMs = 20;
-constexpr int kEvents = 12;
-
 void Say(const std::string& line) {
   const std::string text = line + "\n";
   static_cast<void>(!write(1, text.data(), text.size()));
@@ -19,10 +14,10 @@
 
 }  // namespace
 
-int RunEngineProcess(const std::string& id, std::uint16_t port) {
+int RunEngineProcess(const std::string& id, std::uint16_t port, const EngineTimes& times) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   Server server(
-      [&id](Stream& stream) {
+      [&id, &times](Stream& stream) {
         const auto request = stream.Read(NowMs() + 60000);
         if (!request) return;
         const std::string expected = request->Header("X-Bamboodock-Expect-Instance");
@@ -35,14 +30,14 @@
         const bool deadly =
             request->Header("X-Bamboodock-Prompt-Prefix").find(kDeadlyPart) != std::string::npos;
         Say((deadly ? "deadly " : "sound ") + attempt);
-        SleepMs(kFirstEventMs);
+        SleepMs(times.first_ms);
         stream.Write(Runner::Head(*request, 200,
                                   std::string(Runner::kStamp) +
                                       "Content-Type: text/event-stream\r\nConnection: close\r\n"));
-        for (int i = 1; i <= kEvents; ++i) {
+        for (int i = 1; i <= times.events; ++i) {
           if (!stream.Write("id: " + std::to_string(i) + "\ndata: aaaa\n\n")) return;
           if (deadly) kill(getpid(), SIGKILL);
-          SleepMs(kEventMs);
+          SleepMs(times.event_ms);
         }
       },
       port);
@@ -51,8 +46,8 @@
 }
 
 ProcessRunner::ProcessRunner(Platform& platform, Record& record, std::string id,
-                             std::int64_t down_ms)
-    : platform_(platform), record_(record), id_(std::move(id)), down_ms_(down_ms) {
+                             std::int64_t down_ms, const EngineTimes& times)
+    : platform_(platform), record_(record), id_(std::move(id)), down_ms_(down_ms), times_(times) {
   const int free = Listen(0);
   port_ = PortOf(free);
   close(free);
@@ -66,7 +61,11 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
   const std::string port = std::to_string(port_);
-  const char* arguments[] = {"review-driver", "--engine", id_.c_str(), port.c_str(), nullptr};
+  const std::string first = std::to_string(times_.first_ms);
+  const std::string next = std::to_string(times_.event_ms);
+  const std::string events = std::to_string(times_.events);
+  const char* arguments[] = {"review-driver", "--engine",   id_.c_str(),    port.c_str(),
+                             first.c_str(),   next.c_str(), events.c_str(), nullptr};
   pid_t pid = -1;
   const int error = posix_spawn(&pid, "/proc/self/exe", &actions, nullptr,
                                 const_cast<char**>(arguments), environ);
