--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
+rm -f target/review-3/*.o
 for source in review/stand-in-3/*.cc; do
   c++ -std=c++20 -O2 -Wall -Wextra -pthread -c "$source" \
     -o "target/review-3/$(basename "$source" .cc).o" &
