Log the era of the store and the rows of an answer that change nothing

Cause: the lines 600, 601, 607 and 701 do not tell whether rows were read and dropped (hypothesis 1) or never read (2) after the store's return from a copy. Change: Store-Era is read from each answer, whatever its status, and stands in 601 and 607; 608 names the first row whose revision is below the known one of the same row, and their number, one line an answer. No decision changes. Measured: PlatformDirectoryCodecTest::EraIsReadFromEachAnswer passes.

--- a/src/bamboodock/command/router/followed_rows.cc
+++ b/src/bamboodock/command/router/followed_rows.cc
@@ -26,6 +26,9 @@
     } else {
       deferred_removals_.erase(row.key);
       const auto [known, added] = revisions_.try_emplace(row.key, row.revision);
+      if (!added && known->second > row.revision) {
+        changes.ignored.push_back({row.key, row.revision, known->second});
+      }
       if (!added && known->second >= row.revision) continue;
       known->second = row.revision;
     }
--- a/src/bamboodock/command/router/followed_rows.h
+++ b/src/bamboodock/command/router/followed_rows.h
@@ -19,11 +19,20 @@
   MonotonicTime until;
 };
 
+/// Row of an answer that changes nothing, since a newer one is known.
+struct IgnoredRow {
+  std::string key;
+  std::uint64_t revision = 0;
+  std::uint64_t known_revision = 0;
+};
+
 /// Rows to deliver after an answer of the store.
 struct RowChanges {
   std::vector<StoreRow> rows;
   /// Removals that this answer has added to those held back.
   std::vector<DeferredRemoval> deferred;
+  /// Rows of this answer that are older than the known ones.
+  std::vector<IgnoredRow> ignored;
 };
 
 /// Rows of one table as delivered so far. Finds out what changes with an answer of the store, and
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -122,20 +122,21 @@
   watch.rows.OnAnswer(answer.revision, now);
   if (!watch.failing) return;
   watch.failing = false;
-  log_.Write(
-      Event::kStoreBack, RequestId(),
-      fmt::format("table={} revision={} failing_ms={} last_failed_call_ms={} "
-                  "answered_elsewhere_ms_ago={}",
-                  watch.table, answer.revision, ToMillis(now - watch.failing_since),
-                  ToMillis(watch.last_failed_call), ToMillis(now - AnsweredElsewhereAt(watch))));
+  log_.Write(Event::kStoreBack, RequestId(),
+             fmt::format("table={} revision={} era={} failing_ms={} last_failed_call_ms={} "
+                         "answered_elsewhere_ms_ago={}",
+                         watch.table, answer.revision, watch.era.value(),
+                         ToMillis(now - watch.failing_since), ToMillis(watch.last_failed_call),
+                         ToMillis(now - AnsweredElsewhereAt(watch))));
   RestartOtherCalls(watch);
 }
 
 void StoreDuty::RecordHistoryLoss(TableWatch& watch) {
   // The feed cannot be resumed, so the table is listed again.
   watch.listed = false;
-  log_.Write(Event::kStoreHistoryLost, RequestId(),
-             fmt::format("table={} revision={}", watch.table, watch.revision));
+  log_.Write(
+      Event::kStoreHistoryLost, RequestId(),
+      fmt::format("table={} revision={} era={}", watch.table, watch.revision, watch.era.value()));
 }
 
 void StoreDuty::RestartOtherCalls(const TableWatch& recovered) {
@@ -173,6 +174,7 @@
     if (IsLimitError(result.error)) watch.listed = false;
     co_return std::nullopt;
   }
+  watch.era = protocol_.EraOf(*result.response).value_or(StoreEra());
   std::optional<StoreAnswer> answer = HandleFailure(
       [&]() -> Result<std::optional<StoreAnswer>> {
         BOOST_LEAF_AUTO(read, protocol_.DecodeAnswer(*result.response));
@@ -200,10 +202,16 @@
   co_return answer;
 }
 
-void StoreDuty::LogDeferredRemovals(const TableWatch& watch,
-                                    const std::vector<DeferredRemoval>& deferred) {
+void StoreDuty::LogHeldBack(const TableWatch& watch, const RowChanges& changes) {
+  if (!changes.ignored.empty()) {
+    const IgnoredRow& first = changes.ignored.front();
+    log_.Write(Event::kStoreRowsIgnored, RequestId(),
+               fmt::format("table={} rows={} first={} revision={} known_revision={} era={}",
+                           watch.table, changes.ignored.size(), first.key, first.revision,
+                           first.known_revision, watch.era.value()));
+  }
   const MonotonicTime now = clock_.Now();
-  for (const DeferredRemoval& removal : deferred) {
+  for (const DeferredRemoval& removal : changes.deferred) {
     log_.Write(
         Event::kRemovalDeferred, RequestId(),
         fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", removal.key,
@@ -226,7 +234,7 @@
     from = rows.back().key + '\0';
   }
   const RowChanges changes = watch.rows.Replace(std::move(rows), watch.revision, clock_.Now());
-  LogDeferredRemovals(watch, changes.deferred);
+  LogHeldBack(watch, changes);
   watch.listed = true;
   watch.listed_at = clock_.Now();
   watch.revision = *revision;
@@ -261,7 +269,7 @@
   }
   watch.revision = std::max(watch.revision, answer->revision);
   RowChanges changes = watch.rows.Update(std::move(answer->rows), clock_.Now());
-  LogDeferredRemovals(watch, changes.deferred);
+  LogHeldBack(watch, changes);
   std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
   changes.rows.insert(changes.rows.end(), removals.begin(), removals.end());
   Deliver(watch, emit, changes.rows);
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -103,6 +103,8 @@
     Duration last_failed_call{};
     MonotonicTime answered_at{};
     std::uint64_t revision = 0;
+    /// Era of the last answer.
+    StoreEra era;
     FollowedRows rows;
   };
 
@@ -129,7 +131,8 @@
   void RestartOtherCalls(const TableWatch& recovered);
   /// When the store last answered a call for another table.
   MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
-  void LogDeferredRemovals(const TableWatch& watch, const std::vector<DeferredRemoval>& deferred);
+  /// Logs the rows of an answer that are not delivered.
+  void LogHeldBack(const TableWatch& watch, const RowChanges& changes);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
   std::array<TableWatch*, 3> Watches() {
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -57,6 +57,7 @@
     EventName{Event::kLeaseAcquired, "lease_acquired"},
     EventName{Event::kLeaseLost, "lease_lost"},
     EventName{Event::kStoreHistoryLost, "store_history_lost"},
+    EventName{Event::kStoreRowsIgnored, "store_rows_ignored"},
     EventName{Event::kSettingsReloaded, "settings_reloaded"},
     EventName{Event::kRouteTableInstalled, "route_table_installed"},
     EventName{Event::kConfigRejected, "config_rejected"},
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -59,6 +59,7 @@
   kLeaseAcquired = 605,
   kLeaseLost = 606,
   kStoreHistoryLost = 607,
+  kStoreRowsIgnored = 608,
   // 7xx: router.
   kSettingsReloaded = 700,
   kRouteTableInstalled = 701,
--- a/src/bamboodock/routing/store_protocol.h
+++ b/src/bamboodock/routing/store_protocol.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "bamboodock/core/result.h"
 #include "bamboodock/routing/directory_codec.h"
+#include "bamboodock/routing/store_revision.h"
 #include "bamboodock/transport/http_types.h"
 
 namespace bamboodock {
@@ -27,6 +29,9 @@
   /// `kHistoryLost` when the table must be listed again, `kStoreConflict` when a condition did not
   /// hold, and `kBadMessage` when the answer is malformed.
   virtual Result<StoreAnswer> DecodeAnswer(const HttpResponse& response) const = 0;
+
+  /// Era that an answer states, whatever its status; empty when it states none that can be read.
+  virtual std::optional<StoreEra> EraOf(const HttpResponse& response) const = 0;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/transport/async_http_channel.cc
+++ b/src/bamboodock/transport/async_http_channel.cc
@@ -64,6 +64,7 @@
   error = co_await ReceiveHead(stream_, parser_);
   if (error) co_return error;
   response.status = parser_.head().status;
+  response.headers = parser_.head().headers;
   error = co_await ReadBody(response.body);
   co_return error;
 }
--- a/test/main.cc
+++ b/test/main.cc
@@ -5,14 +5,17 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
 #include <iostream>
+#include <string>
 
-int main() {
+/// Runs all tests, or the suite or test that the argument names, for example
+/// "bamboodock::StoreDutyTest".
+int main(int argc, char** argv) {
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
   controller.addListener(&collector);
   CppUnit::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  runner.run(controller);
+  runner.run(controller, argc > 1 ? argv[1] : "");
   CppUnit::CompilerOutputter outputter(&collector, std::cerr);
   outputter.setNoWrap();
   outputter.write();
--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(RolloutProgressRoundTrips);
   CPPUNIT_TEST(MalformedProgressIsRejected);
   CPPUNIT_TEST(StoreAnswersAreClassified);
+  CPPUNIT_TEST(EraIsReadFromEachAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -227,6 +228,18 @@
         [](const Failure& failure) { CPPUNIT_FAIL(failure.detail); });
   }
 
+  // Guards against an era that is read from successes only, and against text that counts as one.
+  void EraIsReadFromEachAnswer() {
+    const TableStoreProtocol protocol;
+    for (const int status : {200, 410, 412, 429, 503}) {
+      CPPUNIT_ASSERT(protocol.EraOf({status, {{"store-era", "7"}}, ""}) == StoreEra(7));
+    }
+    CPPUNIT_ASSERT(!protocol.EraOf({200, {}, "{}"}));
+    for (const char* text : {"", "x", "-1", "7x", "99999999999999999999999"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !protocol.EraOf({200, {{"Store-Era", text}}, "{}"}));
+    }
+  }
+
  private:
   static ResultCode CodeOf(const HttpResponse& response) {
     return HandleFailure(
