Add failing tests of the store's return from an older copy

Cause: see docs/incidents/store-returns-from-copy.md; callers got answers by an old configuration, and an endpoint that had left got requests.

--- /dev/null
+++ b/test/command/router/store_return_test.cc
@@ -0,0 +1,156 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fakes/following_entry.h"
+#include "fakes/table_store.h"
+
+namespace bamboodock {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Bounds of the operators' rules.
+constexpr milliseconds kConfigApplyLimit{2000};
+constexpr milliseconds kDrainLimit{2000};
+/// Time for an entry to read a change while nothing fails.
+constexpr milliseconds kReadLimit{5000};
+/// Revisions that the store gives out after the copy and loses.
+constexpr std::uint64_t kManyLost = 40;
+constexpr std::int64_t kStarted = 1'787'956'282'063;
+
+const std::set<std::string> kOne{"e1"};
+const std::set<std::string> kBoth{"e1", "e2"};
+
+}  // namespace
+
+/// What an entry does after the store has returned from an older copy (incident
+/// store-returns-from-copy).
+class StoreReturnTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreReturnTest);
+  CPPUNIT_TEST(ConfigurationUnderAKnownRevisionIsInForce);
+  CPPUNIT_TEST(ConfigurationBelowAPassedRevisionIsInForce);
+  CPPUNIT_TEST(EndpointBelowAPassedRevisionGetsRequests);
+  CPPUNIT_TEST(DrainingUnderAKnownRevisionIsSeen);
+  CPPUNIT_TEST(RemovedEndpointOfTheCopyGetsNoRequests);
+  CPPUNIT_TEST(RemovalUnderAKnownRevisionTakesEffectAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    store_ = std::make_unique<TableStore>();
+    store_->SkipRevisions(100);
+    store_->Put("op", "config", ConfigRow(10, {"k1", "k2"}));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 1));
+    entry_ = std::make_unique<FollowingEntry>(*store_, "h1");
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kOne; }));
+    store_->TakeCopy();
+  }
+  void tearDown() override {
+    entry_.reset();
+    store_.reset();
+  }
+
+  // Guards against a key that is taken away and goes on to work, since the row has a revision that
+  // was given out before.
+  void ConfigurationUnderAKnownRevisionIsInForce() {
+    LoseConfigurations();
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(
+        HoldsWithin(kReadLimit, [&] { return entry_->ConfigAge() < milliseconds(200); }));
+    store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
+    CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
+    CPPUNIT_ASSERT(entry_->Code("/a/", "k1") == ResultCode::kUnauthorized);
+    CPPUNIT_ASSERT(entry_->Code("/new/", "k2") == ResultCode::kOk);
+  }
+
+  // Guards against a configuration that is never read, since the store has passed the revision that
+  // the entry knows before it reads again, so that no call fails.
+  void ConfigurationBelowAPassedRevisionIsInForce() {
+    LoseConfigurations();
+    store_->GoAway();
+    store_->RestoreCopy();
+    store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
+    store_->SkipRevisions(2 * kManyLost);
+    store_->Return();
+    CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
+  }
+
+  // Guards against an endpoint that never gets requests, since the store has passed the revision
+  // that the entry knows before it reads again.
+  void EndpointBelowAPassedRevisionGetsRequests() {
+    store_->SkipRevisions(kManyLost);
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
+    store_->Put("op", "config", ConfigRow(80, {"k1", "k2"}));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return IsInForce(80); }));
+    store_->GoAway();
+    store_->RestoreCopy();
+    store_->Put("servers", "e2", RegistrationRow(kStarted + 5000, 1));
+    store_->SkipRevisions(2 * kManyLost);
+    store_->Return();
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints().contains("e2"); }));
+  }
+
+  // Guards against requests to an endpoint that says that it leaves under a revision that was given
+  // out before.
+  void DrainingUnderAKnownRevisionIsSeen() {
+    store_->SkipRevisions(kManyLost);
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
+    ReturnFromCopy();
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 3, "draining"));
+    CPPUNIT_ASSERT(
+        HoldsWithin(kDrainLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
+  }
+
+  // Guards against requests to an endpoint that has left, since the copy still holds its row.
+  void RemovedEndpointOfTheCopyGetsNoRequests() {
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    store_->SkipRevisions(kManyLost);
+    store_->Remove("servers", "e1");
+    CPPUNIT_ASSERT(
+        HoldsWithin(kReadLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(4000), [&] { return !Endpoints().contains("e1"); }));
+  }
+
+  // Guards against a removal that is held back, since its revision is compared with one of the
+  // other history.
+  void RemovalUnderAKnownRevisionTakesEffectAtOnce() {
+    store_->SkipRevisions(kManyLost);
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
+    ReturnFromCopy();
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
+    std::this_thread::sleep_for(milliseconds(500));
+    store_->Remove("servers", "e1");
+    CPPUNIT_ASSERT(
+        HoldsWithin(kDrainLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
+  }
+
+ private:
+  std::set<std::string> Endpoints() { return entry_->Endpoints("k2"); }
+  bool IsInForce(std::uint64_t version) const { return entry_->ConfigVersionInForce() == version; }
+
+  /// Has the entry read configurations that the copy does not hold.
+  void LoseConfigurations() {
+    store_->SkipRevisions(kManyLost);
+    store_->Put("op", "config", ConfigRow(80, {"k1", "k2"}));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return IsInForce(80); }));
+  }
+
+  void ReturnFromCopy() {
+    constexpr milliseconds kAway{500};
+    store_->GoAway();
+    store_->RestoreCopy();
+    std::this_thread::sleep_for(kAway);
+    store_->Return();
+  }
+
+  std::unique_ptr<TableStore> store_;
+  std::unique_ptr<FollowingEntry> entry_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreReturnTest);
+
+}  // namespace bamboodock
--- a/test/process/support/fake_store.cc
+++ b/test/process/support/fake_store.cc
@@ -1,10 +1,10 @@
 #include "process/support/fake_store.h"
 
-#include <openssl/evp.h>
-
 #include <chrono>
 #include <thread>
 
+#include "fakes/base64.h"
+
 namespace bamboodock::process_test {
 namespace {
 
@@ -14,15 +14,6 @@
 /// Time for which a feed is held, so that the router does not poll without a pause.
 constexpr std::chrono::milliseconds kFeedTime{200};
 
-std::string EncodeBase64(const std::string& text) {
-  std::string encoded(4 * ((text.size() + 2) / 3) + 1, '\0');
-  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
-                                   reinterpret_cast<const unsigned char*>(text.data()),
-                                   static_cast<int>(text.size()));
-  encoded.resize(static_cast<std::size_t>(size));
-  return encoded;
-}
-
 std::int64_t NowMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::steady_clock::now().time_since_epoch())
@@ -39,7 +30,7 @@
                    {{"tableName", table},
                     {"part", ""},
                     {"key", key},
-                    {"value", EncodeBase64(value.dump())},
+                    {"value", ToBase64(value.dump())},
                     {"ver", kRevision}}});
 }
 
