Split the store duty: table watch, row decoder, writer

Change: TableWatch holds connection, state and timing of one table, RowDecoder decodes rows into changes, StoreWriter writes the rows of the router. No decision changes.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -24,50 +24,15 @@
 /// The store answers calls at once while it is not known to answer again. A call that it held could
 /// have been lost, and would be noticed only when its whole wait is over.
 constexpr std::chrono::milliseconds kProbeWait{1};
-/// Delay before the first retry while the store does not answer; doubles up to the maximum of the
-/// table.
-constexpr std::chrono::milliseconds kInitialRetryDelay{180};
-constexpr std::uint32_t kMaxDoublings = 5;
-/// Delay before the row of this entry is written again.
-constexpr std::chrono::milliseconds kRegistrationRetryDelay{600};
-/// A table is listed again without a pause if its last listing is older than this.
-constexpr std::chrono::milliseconds kListingInterval{600};
-/// Delay between two writes for the same rollout, since a write whose answer was lost may still
-/// take effect.
-constexpr std::chrono::milliseconds kRewriteDelay{400};
 constexpr std::size_t kInboxCapacity = 256;
 
 }  // namespace
 
-// Requests with a key depend on the operator's table, so its recovery must be detected soon. The
-// wait bounds the age of the known state.
-const StoreDuty::TableTiming StoreDuty::kOperatorTiming{
-    .feed_wait = std::chrono::milliseconds(1000),
-    .batch_delay = std::chrono::milliseconds(0),
-    .max_retry_delay = kInitialRetryDelay,
-    .removal_grace = std::chrono::milliseconds(0)};
-
-// Changes end a feed call at once, and keep-alive probes detect a dead connection, so the calls can
-// be long. An endpoint that drains must get no requests after 2 s. Endpoints whose registration
-// expired in an outage are registered again within the grace time.
-const StoreDuty::TableTiming StoreDuty::kEndpointTiming{
-    .feed_wait = std::chrono::milliseconds(3000),
-    .batch_delay = std::chrono::milliseconds(500),
-    .max_retry_delay = std::chrono::milliseconds(600),
-    .removal_grace = std::chrono::milliseconds(2200)};
-
-// The other tables notice the end of an outage earlier, and have this one called again then.
-const StoreDuty::TableTiming StoreDuty::kRouterTiming{
-    .feed_wait = std::chrono::milliseconds(8000),
-    .batch_delay = std::chrono::milliseconds(1000),
-    .max_retry_delay = std::chrono::milliseconds(2000),
-    .removal_grace = std::chrono::milliseconds(0)};
-
-StoreDuty::StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
+StoreDuty::StoreDuty(const Address& store, const PeerRecord& self, const DirectoryCodec& codec,
                      const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
                      EventLog& log)
-    : self_(std::move(self)),
-      codec_(codec),
+    : self_(self.host),
+      decoder_(codec, log),
       protocol_(protocol),
       clock_(clock),
       listener_(listener),
@@ -76,13 +41,13 @@
       operator_watch_(codec.OperatorTable(), kOperatorTiming, loop_.get_executor(), store),
       endpoint_watch_(codec.EndpointTable(), kEndpointTiming, loop_.get_executor(), store),
       router_watch_(codec.RouterTable(), kRouterTiming, loop_.get_executor(), store),
-      writer_(loop_.get_executor(), store) {}
+      writer_(loop_, store, self, codec, protocol, log) {}
 
 void StoreDuty::Start() {
   asio::co_spawn(loop_, Follow(operator_watch_, &StoreDuty::EmitOperator), asio::detached);
   asio::co_spawn(loop_, Follow(endpoint_watch_, &StoreDuty::EmitEndpoints), asio::detached);
   asio::co_spawn(loop_, Follow(router_watch_, &StoreDuty::EmitRouter), asio::detached);
-  asio::co_spawn(loop_, RegisterSelf(), asio::detached);
+  writer_.WriteSelf();
   thread_ = std::thread([this] { loop_.run(); });
 }
 
@@ -246,7 +211,7 @@
   std::chrono::milliseconds wait = watch.timing.feed_wait;
   const MonotonicTime now = clock_.Now();
   if (&watch == &operator_watch_ && now - peers_covered_until_ < kMaxPeerCoverageAge) {
-    const std::string& host = self_.host.value();
+    const std::string& host = self_.value();
     const auto spread = XXH3_64bits(host.data(), host.size()) % kSharedFeedWaitSpread.count();
     wait = kSharedOperatorFeedWait + std::chrono::milliseconds(spread);
   }
@@ -280,12 +245,9 @@
 }
 
 asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
-  if (std::exchange(watch.restarted, false)) co_return;
-  const bool may_list_again = clock_.Now() - watch.listed_at >= kListingInterval;
-  if (!watch.listed && watch.failures <= 1 && may_list_again) co_return;
-  const auto backoff =
-      kInitialRetryDelay * (1U << std::clamp(watch.failures, 1U, kMaxDoublings)) / 2;
-  watch.retry_timer.expires_after(std::min(backoff, watch.timing.max_retry_delay));
+  const auto delay = watch.TakeRetryDelay(clock_.Now());
+  if (!delay) co_return;
+  watch.retry_timer.expires_after(*delay);
   SocketError cancelled;
   co_await watch.retry_timer.async_wait(CaptureError(cancelled));
 }
@@ -320,86 +282,20 @@
 }
 
 bool StoreDuty::EmitOperator(const std::vector<StoreRow>& rows) {
-  OperatorDelta delta{{},          covered_until_, store_now_,
-                      store_read_, Coverage(),     store_clock_.offset()};
-  for (const StoreRow& row : rows) {
-    HandleFailure(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(decoded, codec_.DecodeOperatorRow(row));
-          delta.rows.push_back(std::move(decoded));
-          return {};
-        },
-        [&](const Failure& failure) {
-          log_.Write(Event::kConfigRejected, RequestId(), failure.detail);
-        });
-  }
-  return listener_.OnChange(std::move(delta));
+  return listener_.OnChange(OperatorDelta{decoder_.DecodeOperator(rows), covered_until_, store_now_,
+                                          store_read_, Coverage(), store_clock_.offset()});
 }
 
 bool StoreDuty::EmitEndpoints(const std::vector<StoreRow>& rows) {
-  EndpointDelta delta;
-  for (const StoreRow& row : rows) {
-    if (row.deleted) {
-      delta.removed.emplace_back(row.key);
-      continue;
-    }
-    HandleFailure(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(record, codec_.DecodeEndpoint(row));
-          delta.changed.push_back(std::move(record));
-          return {};
-        },
-        [&](const Failure& failure) {
-          log_.Write(Event::kEndpointRejected, RequestId(), failure.detail);
-          delta.removed.emplace_back(row.key);
-        });
-  }
-  return listener_.OnChange(std::move(delta));
+  return listener_.OnChange(decoder_.DecodeEndpoints(rows));
 }
 
 bool StoreDuty::EmitRouter(const std::vector<StoreRow>& rows) {
-  RouterDelta delta;
-  for (const StoreRow& row : rows) {
-    if (auto peer = codec_.DecodePeer(row)) delta.peers.push_back(*peer);
-    HandleFailure(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(progress, codec_.DecodeProgress(row));
-          if (progress) delta.rollouts.push_back(*progress);
-          return {};
-        },
-        [&](const Failure& failure) {
-          log_.Write(Event::kConfigRejected, RequestId(), failure.detail);
-        });
-  }
+  RouterDelta delta = decoder_.DecodeRouter(rows);
   if (!delta.peers.empty()) listener_.OnPeers(delta.peers);
   return listener_.OnChange(std::move(delta));
 }
 
-asio::awaitable<void> StoreDuty::RegisterSelf() {
-  while (true) {
-    const HttpRequest request = protocol_.Transact({codec_.EncodePeer(self_)});
-    const HttpExchangeResult result = co_await writer_.Call(request, kAnswerTimeout);
-    if (result.response && result.response->status == 200) co_return;
-    log_.Write(Event::kStoreWriteFailed, RequestId(),
-               fmt::format("cannot write the row of this entry: status={} error='{}'",
-                           result.response ? result.response->status : 0, result.error.message()));
-    co_await Sleep(kRegistrationRetryDelay);
-  }
-}
-
-asio::awaitable<void> StoreDuty::WriteProgress(RolloutProgress progress) {
-  const HttpRequest request = protocol_.Transact(codec_.EncodeProgress(progress));
-  const HttpExchangeResult result = co_await writer_.Call(request, kAnswerTimeout);
-  const int status = result.response ? result.response->status : 0;
-  log_.Write(status == 200 ? Event::kRolloutWritten : Event::kStoreWriteFailed, RequestId(),
-             fmt::format("service={} target={} state={} expected_revision={} status={} error='{}'",
-                         progress.service.value(), progress.target.value(),
-                         static_cast<int>(progress.state), progress.revision, status,
-                         result.error.message()));
-  co_await Sleep(kRewriteDelay);
-  pending_writes_.erase(progress.service);
-}
-
 void StoreDuty::HandleCommand(StoreCommand& command) {
   if (command.store) {
     for (TableWatch* watch : Watches()) {
@@ -408,9 +304,7 @@
     writer_.SetServer(*command.store);
   }
   if (command.peers_covered_until) peers_covered_until_ = *command.peers_covered_until;
-  if (command.progress && pending_writes_.insert(command.progress->service).second) {
-    asio::co_spawn(loop_, WriteProgress(*command.progress), asio::detached);
-  }
+  if (command.progress) writer_.WriteProgress(*command.progress);
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -2,23 +2,20 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "bamboodock/command/router/followed_rows.h"
 #include "bamboodock/command/router/route_commands.h"
+#include "bamboodock/command/router/row_decoder.h"
+#include "bamboodock/command/router/store_writer.h"
+#include "bamboodock/command/router/table_watch.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/store_clock.h"
 #include "bamboodock/routing/directory_codec.h"
 #include "bamboodock/routing/store_protocol.h"
-#include "bamboodock/transport/async_http_channel.h"
 #include "bamboodock/transport/ring_inbox.h"
 
 namespace bamboodock {
@@ -50,7 +47,7 @@
 /// answer for one table after an outage makes the others try at once.
 class StoreDuty {
  public:
-  StoreDuty(const Address& store, PeerRecord self, const DirectoryCodec& codec,
+  StoreDuty(const Address& store, const PeerRecord& self, const DirectoryCodec& codec,
             const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
             EventLog& log);
   ~StoreDuty() { Stop(); }
@@ -61,53 +58,6 @@
   bool Post(StoreCommand command) { return inbox_.TryPush(std::move(command)); }
 
  private:
-  /// How a table is followed.
-  struct TableTiming {
-    /// Maximum time for which the store holds a feed call (long polling).
-    std::chrono::milliseconds feed_wait;
-    /// Delay after changes, so that one call returns several that follow closely.
-    std::chrono::milliseconds batch_delay;
-    /// Longest delay between retries while the store does not answer.
-    std::chrono::milliseconds max_retry_delay;
-    /// Time for which removals are held back after an outage; zero to hold back none.
-    std::chrono::milliseconds removal_grace;
-  };
-  static const TableTiming kOperatorTiming;
-  static const TableTiming kEndpointTiming;
-  static const TableTiming kRouterTiming;
-
-  struct TableWatch {
-    TableWatch(const std::string& name, const TableTiming& table_timing,
-               const asio::any_io_executor& executor, const Address& store)
-        : table(name),
-          timing(table_timing),
-          channel(executor, store),
-          retry_timer(executor),
-          rows(name, table_timing.removal_grace) {}
-
-    std::string table;
-    TableTiming timing;
-    AsyncHttpChannel channel;
-    asio::steady_timer retry_timer;
-    bool listed = false;
-    MonotonicTime listed_at{};
-    bool failing = false;
-    std::uint32_t failures = 0;
-    /// When the call in progress was sent; empty when there is none.
-    std::optional<MonotonicTime> call_sent;
-    /// Whether the call in progress was closed in order to send it again.
-    bool restarted = false;
-    /// When the first and the last call failed, and how long the last one took.
-    MonotonicTime failing_since{};
-    MonotonicTime failed_at{};
-    Duration last_failed_call{};
-    MonotonicTime answered_at{};
-    std::uint64_t revision = 0;
-    /// Era of the last answer.
-    StoreEra era;
-    FollowedRows rows;
-  };
-
   using Emit = bool (StoreDuty::*)(const std::vector<StoreRow>& rows);
 
   asio::awaitable<void> Follow(TableWatch& watch, Emit emit);
@@ -118,8 +68,6 @@
                                                     std::chrono::milliseconds timeout);
   asio::awaitable<void> Sleep(std::chrono::milliseconds time);
   asio::awaitable<void> PauseBeforeRetry(TableWatch& watch);
-  asio::awaitable<void> RegisterSelf();
-  asio::awaitable<void> WriteProgress(RolloutProgress progress);
 
   void RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason);
   void RecordSuccess(TableWatch& watch, const StoreAnswer& answer);
@@ -147,8 +95,8 @@
   bool EmitRouter(const std::vector<StoreRow>& rows);
   void HandleCommand(StoreCommand& command);
 
-  PeerRecord self_;
-  const DirectoryCodec& codec_;
+  HostId self_;
+  RowDecoder decoder_;
   const StoreProtocol& protocol_;
   const Clock& clock_;
   StoreListener& listener_;
@@ -166,8 +114,7 @@
   TableWatch operator_watch_;
   TableWatch endpoint_watch_;
   TableWatch router_watch_;
-  AsyncHttpChannel writer_;
-  std::set<ServiceId> pending_writes_;
+  StoreWriter writer_;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/src/bamboodock/command/router/table_watch.cc
@@ -0,0 +1,47 @@
+#include "bamboodock/command/router/table_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboodock {
+namespace {
+
+/// Delay before the first retry while the store does not answer; doubles up to the maximum of the
+/// table.
+constexpr std::chrono::milliseconds kInitialRetryDelay{180};
+constexpr std::uint32_t kMaxDoublings = 5;
+/// A table is listed again without a pause if its last listing is older than this.
+constexpr std::chrono::milliseconds kListingInterval{600};
+
+}  // namespace
+
+// Requests with a key depend on the operator's table, so its recovery must be detected soon. The
+// wait bounds the age of the known state.
+const TableTiming kOperatorTiming{.feed_wait = std::chrono::milliseconds(1000),
+                                  .batch_delay = std::chrono::milliseconds(0),
+                                  .max_retry_delay = kInitialRetryDelay,
+                                  .removal_grace = std::chrono::milliseconds(0)};
+
+// Changes end a feed call at once, and keep-alive probes detect a dead connection, so the calls can
+// be long. An endpoint that drains must get no requests after 2 s. Endpoints whose registration
+// expired in an outage are registered again within the grace time.
+const TableTiming kEndpointTiming{.feed_wait = std::chrono::milliseconds(3000),
+                                  .batch_delay = std::chrono::milliseconds(500),
+                                  .max_retry_delay = std::chrono::milliseconds(600),
+                                  .removal_grace = std::chrono::milliseconds(2200)};
+
+// The other tables notice the end of an outage earlier, and have this one called again then.
+const TableTiming kRouterTiming{.feed_wait = std::chrono::milliseconds(8000),
+                                .batch_delay = std::chrono::milliseconds(1000),
+                                .max_retry_delay = std::chrono::milliseconds(2000),
+                                .removal_grace = std::chrono::milliseconds(0)};
+
+std::optional<std::chrono::milliseconds> TableWatch::TakeRetryDelay(MonotonicTime now) {
+  if (std::exchange(restarted, false)) return std::nullopt;
+  const bool may_list_again = now - listed_at >= kListingInterval;
+  if (!listed && failures <= 1 && may_list_again) return std::nullopt;
+  const auto backoff = kInitialRetryDelay * (1U << std::clamp(failures, 1U, kMaxDoublings)) / 2;
+  return std::min(std::chrono::milliseconds(backoff), timing.max_retry_delay);
+}
+
+}  // namespace bamboodock
