--- a/src/bamboodock/codec/peer_codec.cc
+++ b/src/bamboodock/codec/peer_codec.cc
@@ -35,21 +35,24 @@
   Json held_back = Json::array();
   for (const SessionHash hash : evidence.held_back) held_back.push_back(hash.value());
   return {evidence.service.value(),
-          evidence.order_revision,
+          evidence.order_revision.number,
           EncodeCounters(evidence.answers),
           EncodeCounters(evidence.old_answers),
           evidence.open_at_old,
-          held_back};
+          held_back,
+          evidence.order_revision.era.value()};
 }
 
 RolloutEvidence DecodeEvidence(const Json& json) {
   RolloutEvidence evidence;
   evidence.service = ServiceId(json.at(0).get<std::string>());
-  evidence.order_revision = json.at(1).get<std::uint64_t>();
+  evidence.order_revision.number = json.at(1).get<std::uint64_t>();
   evidence.answers = DecodeCounters(json.at(2));
   evidence.old_answers = DecodeCounters(json.at(3));
   evidence.open_at_old = json.at(4).get<std::uint64_t>();
   for (const Json& hash : json.at(5)) evidence.held_back.emplace_back(hash.get<std::uint32_t>());
+  // Entries of earlier releases name no era.
+  if (json.size() > 6) evidence.order_revision.era = StoreEra(json.at(6).get<std::uint64_t>());
   return evidence;
 }
 
@@ -185,6 +188,9 @@
   if (message.size() <= 4) return report;
   report.orders.digest = message.at(4).at(0).get<std::uint64_t>();
   report.orders.until = DecodeStoreTime(message.at(4).at(1));
+  if (message.at(4).size() > 2) {
+    report.orders.era = StoreEra(message.at(4).at(2).get<std::uint64_t>());
+  }
   DecodeLaterFields(message, report);
   return report;
 }
@@ -200,13 +206,14 @@
   for (const PendingWork& work : report.pending) {
     pending.push_back(Json::array({work.endpoint.value(), work.work.value()}));
   }
-  const Json message{report.host.value(),
-                     report.incarnation.value(),
-                     rollouts,
-                     pending,
-                     Json::array({report.orders.digest, report.orders.until.count()}),
-                     EncodeSlowdowns(report.slowdowns),
-                     EncodeAcceptance(report.acceptance)};
+  const Json message{
+      report.host.value(),
+      report.incarnation.value(),
+      rollouts,
+      pending,
+      Json::array({report.orders.digest, report.orders.until.count(), report.orders.era.value()}),
+      EncodeSlowdowns(report.slowdowns),
+      EncodeAcceptance(report.acceptance)};
   std::string bytes;
   Json::to_msgpack(message, bytes);
   return bytes;
--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -104,8 +104,8 @@
   }
 }
 
-void EndpointPool::Evacuate(const AvailabilityZoneId& zone, bool evacuated) {
-  evacuated_[zone] = evacuated;
+bool EndpointPool::Evacuate(const AvailabilityZoneId& zone, bool evacuated) {
+  return std::exchange(evacuated_[zone], evacuated) != evacuated;
 }
 
 bool EndpointPool::IsUsable(const PooledEndpoint& endpoint,
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -98,7 +98,8 @@
   /// Treats all endpoints of the zone as cold for `cold_time`, for use when an evacuation ends.
   void AssumeCold(const AvailabilityZoneId& zone, Duration cold_time, MonotonicTime now);
 
-  void Evacuate(const AvailabilityZoneId& zone, bool evacuated);
+  /// Returns whether that changes the state of the zone.
+  bool Evacuate(const AvailabilityZoneId& zone, bool evacuated);
 
   /// Chooses an endpoint for one attempt; returns null when none is usable.
   PooledEndpoint* Choose(const EndpointRequirements& requirements, Random& random,
--- a/src/bamboodock/command/router/followed_rows.h
+++ b/src/bamboodock/command/router/followed_rows.h
@@ -4,26 +4,40 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "bamboodock/policy/registration_grace.h"
 #include "bamboodock/routing/directory_codec.h"
+#include "bamboodock/routing/row_sequences.h"
 
 namespace bamboodock {
 
+/// How long the rows of a table outlast what the store has lost.
+struct RowRetention {
+  /// Time for which removals are held back after an outage; zero to hold back none.
+  Duration expiry_grace{};
+  /// Time for which rows are kept that are missing after the store has returned from an older copy.
+  Duration missing_grace{};
+  /// Time for which an outdated row of the copy is held back; zero to deliver it at once.
+  Duration outdated_hold{};
+  /// Whether rows that the copy still holds are delivered again, with their new era.
+  bool redelivers_survivors = false;
+};
+
 /// Removal that is held back, since the row may return.
 struct DeferredRemoval {
   std::string key;
   /// Revision of the removal, or the first one that it can have.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   MonotonicTime until;
 };
 
 /// Row of an answer that changes nothing, since a newer one is known.
 struct IgnoredRow {
   std::string key;
-  std::uint64_t revision = 0;
-  std::uint64_t known_revision = 0;
+  StoreRevision revision;
+  StoreRevision known_revision;
 };
 
 /// Rows to deliver after an answer of the store.
@@ -36,43 +50,85 @@
 };
 
 /// Rows of one table as delivered so far. Finds out what changes with an answer of the store, and
-/// holds back removals that may be due to an outage.
+/// holds back what may be due to an outage or to an older copy.
 class FollowedRows {
  public:
-  /// @param grace Time for which removals are held back after an outage; zero to hold back none.
-  FollowedRows(std::string table, Duration grace) : table_(std::move(table)), grace_(grace) {}
+  FollowedRows(std::string table, const RowRetention& retention, const RowSequences& sequences)
+      : table_(std::move(table)),
+        retention_(retention),
+        sequences_(sequences),
+        grace_(retention.expiry_grace) {}
 
   /// @copydoc RegistrationGrace::OnOutage
   void OnOutage() { grace_.OnOutage(); }
   /// @copydoc RegistrationGrace::OnAnswer
-  void OnAnswer(std::uint64_t revision, MonotonicTime now) { grace_.OnAnswer(revision, now); }
-  std::uint64_t return_revision() const { return grace_.return_revision(); }
+  void OnAnswer(StoreRevision revision, MonotonicTime now) { grace_.OnAnswer(revision, now); }
+  StoreRevision return_revision() const { return grace_.return_revision(); }
 
   /// Applies rows of the change feed.
   RowChanges Update(std::vector<StoreRow> rows, MonotonicTime now);
   /// Applies a listing of the whole table. Rows that it lacks were removed later than `since`, the
-  /// revision that was known before.
-  RowChanges Replace(std::vector<StoreRow> rows, std::uint64_t since, MonotonicTime now);
-  /// Removals whose time is over.
-  std::vector<StoreRow> TakeDueRemovals(MonotonicTime now);
-  /// When the next removal is due; empty when none is held back.
-  std::optional<MonotonicTime> NextRemoval() const;
-  /// Forgets the revisions of rows that were not accepted, so that the next listing delivers them
-  /// again, as deleted if they no longer exist.
+  /// revision that was known before, or are missing from an older copy if `listed` is of another
+  /// era than they are.
+  RowChanges Replace(std::vector<StoreRow> rows, StoreRevision since, StoreRevision listed,
+                     MonotonicTime now);
+  /// Rows and removals that are held back no longer.
+  std::vector<StoreRow> TakeDue(MonotonicTime now);
+  /// When the next row or removal is due; empty when none is held back.
+  std::optional<MonotonicTime> NextDue() const;
+  /// Has the next listing deliver these rows again, as deleted if they no longer exist.
   void Forget(const std::vector<StoreRow>& rows);
 
-  const std::map<std::string, std::uint64_t>& revisions() const { return revisions_; }
+  /// Digest of the keys and revisions of the rows that the store holds.
+  std::uint64_t Digest() const;
+  /// Number of rows and removals that are held back.
+  std::size_t held_back() const { return deferred_removals_.size() + outdated_rows_.size(); }
 
  private:
-  /// Whether the removal takes effect now; otherwise it is held back or of a row that is not known.
-  bool Remove(const StoreRow& row, MonotonicTime now, std::vector<DeferredRemoval>& deferred);
+  struct TrackedRow {
+    /// Newest revision of the row in the store.
+    StoreRevision revision;
+    /// Value that is in force.
+    std::string value;
+    /// Known writes of this row, newest last.
+    std::vector<WriteMark> writes;
+    bool removed = false;
+    MonotonicTime removed_at{};
+    /// Whether the next listing delivers the row whatever its revision.
+    bool undelivered = false;
+  };
+  struct PendingRemoval {
+    MonotonicTime until;
+    /// Era whose copy lacks the row, which may be written again as it was; empty for a removal that
+    /// the store has stated.
+    std::optional<StoreEra> missing_since;
+  };
+  struct OutdatedRow {
+    StoreRow row;
+    MonotonicTime until;
+  };
+
+  void UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes);
+  void UpdateReturnedRow(StoreRow row, TrackedRow& tracked, MonotonicTime now, RowChanges& changes);
+  ReturnedRowVerdict Judge(const StoreRow& row, const TrackedRow& tracked) const;
+  void Apply(StoreRow row, TrackedRow& tracked, RowChanges& changes);
+  void Remove(const StoreRow& row, MonotonicTime now, RowChanges& changes);
+  /// Holds the removal of a row back that an older copy lacks.
+  void KeepMissing(const std::string& key, StoreRevision listed, MonotonicTime now,
+                   RowChanges& changes);
+  /// Forgets rows that were removed so long ago that no copy can hold them.
+  void Prune(MonotonicTime now);
 
   std::string table_;
+  RowRetention retention_;
+  const RowSequences& sequences_;
   RegistrationGrace grace_;
-  /// Revision of each row that has been delivered.
-  std::map<std::string, std::uint64_t> revisions_;
-  /// When the removal of a row is delivered unless the row is back.
-  std::map<std::string, MonotonicTime> deferred_removals_;
+  std::map<std::string, TrackedRow, std::less<>> tracked_;
+  /// Removals that are delivered unless the row is back.
+  std::map<std::string, PendingRemoval, std::less<>> deferred_removals_;
+  /// Rows of a copy that are delivered unless a newer state is written.
+  std::map<std::string, OutdatedRow, std::less<>> outdated_rows_;
+  MonotonicTime pruned_at_{};
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/planning_duty.cc
+++ b/src/bamboodock/command/router/planning_duty.cc
@@ -44,8 +44,8 @@
   if (auto limits = state_.TakeRateLimits()) {
     static_cast<void>(outputs_.send_rate_limits(std::move(*limits)));
   }
-  // If this is dropped, the store duty only polls the store more often.
-  static_cast<void>(outputs_.peers_covered_until(state_.peers_covered_until()));
+  // If this is dropped, the store duty only polls the store more often until the next tick.
+  static_cast<void>(outputs_.peer_knowledge(state_.peers_covered_until(), state_.peer_era()));
   PublishStatus();
   ReportDroppedLines();
   return std::chrono::steady_clock::now() + kTickInterval;
--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -18,8 +18,8 @@
   std::function<bool(PeerReport)> send_report;
   std::function<bool(PromptEvidenceReport)> send_prompt_evidence;
   std::function<bool(RateLimitReport)> send_rate_limits;
-  /// Tells the store duty up to which time the other entries have confirmed the configuration.
-  std::function<bool(MonotonicTime)> peers_covered_until;
+  /// Tells the store duty what the other entries have read from the store.
+  std::function<bool(MonotonicTime covered_until, StoreEra era)> peer_knowledge;
 };
 
 /// Duty that owns `RouteState`: answers plan queries and applies all changes to it.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -520,7 +520,7 @@
 
 void RouteState::ApplyEvacuation(const OperatorRow& row) {
   const AvailabilityZoneId& zone = row.evacuation;
-  pool_.Evacuate(zone, !row.evacuation_ended);
+  if (!pool_.Evacuate(zone, !row.evacuation_ended)) return;
   if (row.evacuation_ended) {
     Duration cold{};
     if (table_ != nullptr) cold = table_->LongestColdTime();
@@ -550,7 +550,8 @@
 }
 
 void RouteState::ExtendCoverage(const OperatorTableState& orders) {
-  if (!store_offset_ || orders.until.count() == 0 || orders.digest != orders_.digest) return;
+  if (!store_offset_ || orders.until.count() == 0) return;
+  if (orders.era != orders_.era || orders.digest != orders_.digest) return;
   const MonotonicTime covered(orders.until + *store_offset_);
   // A time in the future comes from before a restart of the store's clock.
   if (covered > clock_.Now()) return;
@@ -601,6 +602,7 @@
         Event::kPeerHeard, RequestId(),
         fmt::format("host={} incarnation={}", report.host.value(), report.incarnation.value()));
   }
+  peer_era_ = std::max(peer_era_, report.orders.era);
   ExtendCoverage(report.orders);
   pool_.UpdatePending(report.incarnation, report.pending, clock_.Now());
   acceptances_.Merge(report.host, report.acceptance, clock_.Now());
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -74,6 +74,8 @@
   Duration ConfigAge() const;
   /// Time up to which the other entries have confirmed the configuration.
   MonotonicTime peers_covered_until() const { return peers_covered_until_; }
+  /// Highest era of the store that another entry has named.
+  StoreEra peer_era() const { return peer_era_; }
   std::uint32_t entries() const { return peers_.EntryCount(); }
   std::size_t endpoint_count() const { return pool_.size(); }
   std::size_t rate_limited_endpoints() const { return pool_.rate_limits().limited_count(); }
@@ -133,6 +135,7 @@
   Ref<const RouteTable> table_;
   MonotonicTime config_covered_until_{};
   MonotonicTime peers_covered_until_{};
+  StoreEra peer_era_;
   OperatorTableState orders_;
   std::optional<Duration> store_offset_;
   std::chrono::milliseconds store_now_{0};
--- a/src/bamboodock/command/router/router_process.cc
+++ b/src/bamboodock/command/router/router_process.cc
@@ -51,8 +51,9 @@
                      [this](PeerReport report) { return peers.Post(std::move(report)); },
                      [this](PromptEvidenceReport report) { return peers.Post(std::move(report)); },
                      [this](RateLimitReport report) { return peers.Post(std::move(report)); },
-                     [this](MonotonicTime until) {
-                       return store.Post({std::nullopt, std::nullopt, until});
+                     [this](MonotonicTime covered_until, StoreEra era) {
+                       return store.Post(
+                           {std::nullopt, std::nullopt, PeerKnowledge{covered_until, era}});
                      }},
                  log),
         network(settings.callers, settings.readiness,
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -38,9 +38,9 @@
       listener_(listener),
       log_(log),
       inbox_(loop_, kInboxCapacity, [this](StoreCommand& command) { HandleCommand(command); }),
-      operator_watch_(codec.OperatorTable(), kOperatorTiming, loop_.get_executor(), store),
-      endpoint_watch_(codec.EndpointTable(), kEndpointTiming, loop_.get_executor(), store),
-      router_watch_(codec.RouterTable(), kRouterTiming, loop_.get_executor(), store),
+      operator_watch_(codec.OperatorTable(), kOperatorTiming, codec, loop_.get_executor(), store),
+      endpoint_watch_(codec.EndpointTable(), kEndpointTiming, codec, loop_.get_executor(), store),
+      router_watch_(codec.RouterTable(), kRouterTiming, codec, loop_.get_executor(), store),
       writer_(loop_, store, self, codec, protocol, log) {}
 
 void StoreDuty::Start() {
@@ -56,9 +56,10 @@
   if (thread_.joinable()) thread_.join();
 }
 
-asio::awaitable<void> StoreDuty::Sleep(std::chrono::milliseconds time) {
-  asio::steady_timer timer(loop_, time);
-  co_await timer.async_wait(asio::use_awaitable);
+asio::awaitable<void> StoreDuty::Pause(TableWatch& watch, std::chrono::milliseconds time) {
+  watch.retry_timer.expires_after(time);
+  SocketError cancelled;
+  co_await watch.retry_timer.async_wait(CaptureError(cancelled));
 }
 
 void StoreDuty::MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time) {
@@ -90,7 +91,7 @@
   log_.Write(Event::kStoreBack, RequestId(),
              fmt::format("table={} revision={} era={} failing_ms={} last_failed_call_ms={} "
                          "answered_elsewhere_ms_ago={}",
-                         watch.table, answer.revision, watch.era.value(),
+                         watch.table, answer.revision.number, answer.revision.era.value(),
                          ToMillis(now - watch.failing_since), ToMillis(watch.last_failed_call),
                          ToMillis(now - AnsweredElsewhereAt(watch))));
   RestartOtherCalls(watch);
@@ -99,9 +100,32 @@
 void StoreDuty::RecordHistoryLoss(TableWatch& watch) {
   // The feed cannot be resumed, so the table is listed again.
   watch.listed = false;
-  log_.Write(
-      Event::kStoreHistoryLost, RequestId(),
-      fmt::format("table={} revision={} era={}", watch.table, watch.revision, watch.era.value()));
+  log_.Write(Event::kStoreHistoryLost, RequestId(),
+             fmt::format("table={} revision={} era={}", watch.table, watch.revision.number,
+                         era_.era().value()));
+}
+
+bool StoreDuty::ObserveEra(const HttpResponse& response, MonotonicTime sent,
+                           std::string_view source) {
+  const StoreEra before = era_.era();
+  const MonotonicTime now = clock_.Now();
+  const EraVerdict verdict = era_.Observe(protocol_.EraOf(response), sent, now);
+  if (verdict != EraVerdict::kReturned) return verdict == EraVerdict::kCurrent;
+  log_.Write(Event::kStoreReturned, RequestId(),
+             fmt::format("era={} previous_era={} noticed_by={} op_revision={} servers_revision={}",
+                         era_.era().value(), before.value(), source,
+                         operator_watch_.revision.number, endpoint_watch_.revision.number));
+  // The clock of the store may have been set back with its rows.
+  store_clock_ = StoreClock();
+  for (TableWatch* watch : Watches()) ListAgain(*watch);
+  return false;
+}
+
+void StoreDuty::ListAgain(TableWatch& watch) {
+  watch.listed = false;
+  watch.restarted = true;
+  watch.retry_timer.cancel();
+  if (watch.call_sent) watch.channel.Close();
 }
 
 void StoreDuty::RestartOtherCalls(const TableWatch& recovered) {
@@ -139,10 +163,13 @@
     if (IsLimitError(result.error)) watch.listed = false;
     co_return std::nullopt;
   }
-  watch.era = protocol_.EraOf(*result.response).value_or(StoreEra());
+  if (!ObserveEra(*result.response, sent, watch.table)) {
+    watch.restarted = true;
+    co_return std::nullopt;
+  }
   std::optional<StoreAnswer> answer = HandleFailure(
       [&]() -> Result<std::optional<StoreAnswer>> {
-        BOOST_LEAF_AUTO(read, protocol_.DecodeAnswer(*result.response));
+        BOOST_LEAF_AUTO(read, protocol_.DecodeAnswer(*result.response, era_.era()));
         return std::optional(std::move(read));
       },
       [&](const Failure& failure) -> std::optional<StoreAnswer> {
@@ -171,22 +198,24 @@
   if (!changes.ignored.empty()) {
     const IgnoredRow& first = changes.ignored.front();
     log_.Write(Event::kStoreRowsIgnored, RequestId(),
-               fmt::format("table={} rows={} first={} revision={} known_revision={} era={}",
-                           watch.table, changes.ignored.size(), first.key, first.revision,
-                           first.known_revision, watch.era.value()));
+               fmt::format("table={} rows={} first={} era={} revision={} known_era={} "
+                           "known_revision={}",
+                           watch.table, changes.ignored.size(), first.key,
+                           first.revision.era.value(), first.revision.number,
+                           first.known_revision.era.value(), first.known_revision.number));
   }
   const MonotonicTime now = clock_.Now();
   for (const DeferredRemoval& removal : changes.deferred) {
-    log_.Write(
-        Event::kRemovalDeferred, RequestId(),
-        fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", removal.key,
-                    removal.revision, watch.rows.return_revision(), ToMillis(removal.until - now)));
+    log_.Write(Event::kRemovalDeferred, RequestId(),
+               fmt::format("endpoint={} revision={} store_back_revision={} kept_ms={}", removal.key,
+                           removal.revision.number, watch.rows.return_revision().number,
+                           ToMillis(removal.until - now)));
   }
 }
 
 asio::awaitable<bool> StoreDuty::ListAll(TableWatch& watch, Emit emit) {
   std::vector<StoreRow> rows;
-  std::optional<std::uint64_t> revision;
+  std::optional<StoreRevision> revision;
   std::string from;
   while (true) {
     HttpRequest request = protocol_.List(watch.table, from);
@@ -198,7 +227,8 @@
     if (!answer->more || rows.empty()) break;
     from = rows.back().key + '\0';
   }
-  const RowChanges changes = watch.rows.Replace(std::move(rows), watch.revision, clock_.Now());
+  const RowChanges changes =
+      watch.rows.Replace(std::move(rows), watch.revision, *revision, clock_.Now());
   LogHeldBack(watch, changes);
   watch.listed = true;
   watch.listed_at = clock_.Now();
@@ -207,15 +237,18 @@
   co_return true;
 }
 
+std::chrono::milliseconds StoreDuty::SpreadOverHosts(std::chrono::milliseconds longest) const {
+  const std::string& host = self_.value();
+  return std::chrono::milliseconds(XXH3_64bits(host.data(), host.size()) % longest.count());
+}
+
 std::chrono::milliseconds StoreDuty::FeedWait(const TableWatch& watch) const {
   std::chrono::milliseconds wait = watch.timing.feed_wait;
   const MonotonicTime now = clock_.Now();
   if (&watch == &operator_watch_ && now - peers_covered_until_ < kMaxPeerCoverageAge) {
-    const std::string& host = self_.value();
-    const auto spread = XXH3_64bits(host.data(), host.size()) % kSharedFeedWaitSpread.count();
-    wait = kSharedOperatorFeedWait + std::chrono::milliseconds(spread);
+    wait = kSharedOperatorFeedWait + SpreadOverHosts(kSharedFeedWaitSpread);
   }
-  if (const auto next = watch.rows.NextRemoval()) {
+  if (const auto next = watch.rows.NextDue()) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*next - now);
     wait = std::clamp(left, kProbeWait, wait);
   }
@@ -228,28 +261,24 @@
   const auto timeout = wait + kAnswerTimeout;
   std::optional<StoreAnswer> answer = co_await Query(watch, std::move(request), timeout);
   if (!answer) {
-    const std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
-    if (!removals.empty()) Deliver(watch, emit, removals);
+    const std::vector<StoreRow> due = watch.rows.TakeDue(clock_.Now());
+    if (!due.empty()) Deliver(watch, emit, due);
     co_return false;
   }
   watch.revision = std::max(watch.revision, answer->revision);
   RowChanges changes = watch.rows.Update(std::move(answer->rows), clock_.Now());
   LogHeldBack(watch, changes);
-  std::vector<StoreRow> removals = watch.rows.TakeDueRemovals(clock_.Now());
-  changes.rows.insert(changes.rows.end(), removals.begin(), removals.end());
+  const std::vector<StoreRow> due = watch.rows.TakeDue(clock_.Now());
+  changes.rows.insert(changes.rows.end(), due.begin(), due.end());
   Deliver(watch, emit, changes.rows);
   if (!changes.rows.empty() && watch.timing.batch_delay.count() > 0) {
-    co_await Sleep(watch.timing.batch_delay);
+    co_await Pause(watch, watch.timing.batch_delay);
   }
   co_return true;
 }
 
 asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
-  const auto delay = watch.TakeRetryDelay(clock_.Now());
-  if (!delay) co_return;
-  watch.retry_timer.expires_after(*delay);
-  SocketError cancelled;
-  co_await watch.retry_timer.async_wait(CaptureError(cancelled));
+  if (const auto delay = watch.TakeRetryDelay(clock_.Now())) co_await Pause(watch, *delay);
 }
 
 asio::awaitable<void> StoreDuty::Follow(TableWatch& watch, Emit emit) {
@@ -273,12 +302,7 @@
 }
 
 OperatorTableState StoreDuty::Coverage() const {
-  OperatorTableState orders{0, orders_covered_until_};
-  for (const auto& [key, revision] : operator_watch_.rows.revisions()) {
-    // Adds the hashes, since a sum does not depend on the order of the rows.
-    orders.digest += XXH3_64bits_withSeed(key.data(), key.size(), revision);
-  }
-  return orders;
+  return {operator_watch_.rows.Digest(), orders_covered_until_, operator_watch_.revision.era};
 }
 
 bool StoreDuty::EmitOperator(const std::vector<StoreRow>& rows) {
@@ -303,8 +327,16 @@
     }
     writer_.SetServer(*command.store);
   }
-  if (command.peers_covered_until) peers_covered_until_ = *command.peers_covered_until;
+  if (command.peers) OnPeerKnowledge(*command.peers);
   if (command.progress) writer_.WriteProgress(*command.progress);
 }
 
+void StoreDuty::OnPeerKnowledge(const PeerKnowledge& peers) {
+  peers_covered_until_ = peers.covered_until;
+  if (!era_.IsBehind(peers.era) || peers.era == checked_era_) return;
+  // A listing is answered at once, and its answer states the era.
+  checked_era_ = peers.era;
+  ListAgain(operator_watch_);
+}
+
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/store_clock.h"
+#include "bamboodock/policy/store_era_tracker.h"
 #include "bamboodock/routing/directory_codec.h"
 #include "bamboodock/routing/store_protocol.h"
 #include "bamboodock/transport/ring_inbox.h"
@@ -30,21 +32,29 @@
   virtual void OnPeers(const std::vector<PeerRecord>& peers) = 0;
 };
 
+/// What the other entries have read from the store.
+struct PeerKnowledge {
+  /// Time up to which they have confirmed the operator's orders.
+  MonotonicTime covered_until{};
+  /// Highest era that they have named.
+  StoreEra era;
+};
+
 /// Command to the store duty.
 struct StoreCommand {
   /// Rollout state to write to the store, if set.
   std::optional<RolloutProgress> progress;
   /// New address of the store, if set.
   std::optional<Address> store;
-  /// Time up to which the other entries have confirmed the operator's orders, if set.
-  std::optional<MonotonicTime> peers_covered_until;
+  std::optional<PeerKnowledge> peers;
 };
 
 /// Duty that watches the tables of the store and writes the rows of the router.
 ///
 /// Each table is listed once and then followed through its change feed. While the store is
 /// unavailable the last known state remains valid; its age is passed on with each change. The first
-/// answer for one table after an outage makes the others try at once.
+/// answer for one table after an outage makes the others try at once. The first answer of a new era
+/// has all tables listed again (docs/design/store-return.md).
 class StoreDuty {
  public:
   StoreDuty(const Address& store, const PeerRecord& self, const DirectoryCodec& codec,
@@ -66,7 +76,8 @@
   /// Sends a request; returns the answer of the store, or empty after a failure, which is logged.
   asio::awaitable<std::optional<StoreAnswer>> Query(TableWatch& watch, HttpRequest request,
                                                     std::chrono::milliseconds timeout);
-  asio::awaitable<void> Sleep(std::chrono::milliseconds time);
+  /// Waits until the time is over or `retry_timer` of the table is cancelled.
+  static asio::awaitable<void> Pause(TableWatch& watch, std::chrono::milliseconds time);
   asio::awaitable<void> PauseBeforeRetry(TableWatch& watch);
 
   void RecordFailure(TableWatch& watch, MonotonicTime sent, const std::string& reason);
@@ -74,6 +85,14 @@
   /// Has the table listed again; the store answers, so this is no outage.
   void RecordHistoryLoss(TableWatch& watch);
   void MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time);
+  /// Takes note of the era of an answer; returns whether the answer may be used. An answer that
+  /// shows that the store has returned from an older copy has all tables listed again.
+  ///
+  /// @param source Table or write that the answer belongs to, for the log.
+  bool ObserveEra(const HttpResponse& response, MonotonicTime sent, std::string_view source);
+  /// Lists the table at once; a call in progress is closed.
+  static void ListAgain(TableWatch& watch);
+  void OnPeerKnowledge(const PeerKnowledge& peers);
   /// Sends the calls for the other tables again that were sent before the store answered this one,
   /// since a call that is sent into an outage may never be answered.
   void RestartOtherCalls(const TableWatch& recovered);
@@ -87,6 +106,8 @@
     return {&operator_watch_, &endpoint_watch_, &router_watch_};
   }
   std::chrono::milliseconds FeedWait(const TableWatch& watch) const;
+  /// Part of a time span that depends on the host, so that entries do not act at the same moment.
+  std::chrono::milliseconds SpreadOverHosts(std::chrono::milliseconds longest) const;
 
   /// Delivers changes to the listener. If it does not accept them, the table is listed again.
   void Deliver(TableWatch& watch, Emit emit, const std::vector<StoreRow>& rows);
@@ -104,6 +125,9 @@
 
   asio::io_context loop_{1};
   RingInbox<StoreCommand> inbox_;
+  StoreEraTracker era_;
+  /// Era of another entry for which the store was asked last.
+  StoreEra checked_era_;
   StoreClock store_clock_;
   MonotonicTime covered_until_{};
   MonotonicTime peers_covered_until_{};
--- a/src/bamboodock/command/router/store_writer.cc
+++ b/src/bamboodock/command/router/store_writer.cc
@@ -63,7 +63,7 @@
   log_.Write(status == 200 ? Event::kRolloutWritten : Event::kStoreWriteFailed, RequestId(),
              fmt::format("service={} target={} state={} expected_revision={} status={} error='{}'",
                          progress.service.value(), progress.target.value(),
-                         static_cast<int>(progress.state), progress.revision, status,
+                         static_cast<int>(progress.state), progress.revision.number, status,
                          result.error.message()));
   co_await Sleep(kRewriteDelay);
   pending_writes_.erase(progress.service);
--- a/src/bamboodock/command/router/table_watch.cc
+++ b/src/bamboodock/command/router/table_watch.cc
@@ -12,6 +12,10 @@
 constexpr std::uint32_t kMaxDoublings = 5;
 /// A table is listed again without a pause if its last listing is older than this.
 constexpr std::chrono::milliseconds kListingInterval{600};
+/// Time within which endpoints that are alive register again after the store's return.
+constexpr std::chrono::milliseconds kRegistrationGrace{2200};
+/// Time for which what an older copy contradicts is held to, so that it can be written again.
+constexpr std::chrono::seconds kRewriteTime{30};
 
 }  // namespace
 
@@ -20,7 +24,10 @@
 const TableTiming kOperatorTiming{.feed_wait = std::chrono::milliseconds(1000),
                                   .batch_delay = std::chrono::milliseconds(0),
                                   .max_retry_delay = kInitialRetryDelay,
-                                  .removal_grace = std::chrono::milliseconds(0)};
+                                  .retention = {.expiry_grace = Duration::zero(),
+                                                .missing_grace = kRewriteTime,
+                                                .outdated_hold = kRewriteTime,
+                                                .redelivers_survivors = true}};
 
 // Changes end a feed call at once, and keep-alive probes detect a dead connection, so the calls can
 // be long. An endpoint that drains must get no requests after 2 s. Endpoints whose registration
@@ -28,13 +35,17 @@
 const TableTiming kEndpointTiming{.feed_wait = std::chrono::milliseconds(3000),
                                   .batch_delay = std::chrono::milliseconds(500),
                                   .max_retry_delay = std::chrono::milliseconds(600),
-                                  .removal_grace = std::chrono::milliseconds(2200)};
+                                  .retention = {.expiry_grace = kRegistrationGrace,
+                                                .missing_grace = kRegistrationGrace,
+                                                .outdated_hold = kRewriteTime,
+                                                .redelivers_survivors = false}};
 
-// The other tables notice the end of an outage earlier, and have this one called again then.
+// The other tables notice the end of an outage earlier, and have this one called again then. The
+// rows are written by the entries, which have to see what the store holds in order to write again.
 const TableTiming kRouterTiming{.feed_wait = std::chrono::milliseconds(8000),
                                 .batch_delay = std::chrono::milliseconds(1000),
                                 .max_retry_delay = std::chrono::milliseconds(2000),
-                                .removal_grace = std::chrono::milliseconds(0)};
+                                .retention = {.redelivers_survivors = true}};
 
 std::optional<std::chrono::milliseconds> TableWatch::TakeRetryDelay(MonotonicTime now) {
   if (std::exchange(restarted, false)) return std::nullopt;
--- a/src/bamboodock/command/router/table_watch.h
+++ b/src/bamboodock/command/router/table_watch.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "bamboodock/command/router/followed_rows.h"
+#include "bamboodock/core/store_revision.h"
 #include "bamboodock/core/units.h"
-#include "bamboodock/routing/store_revision.h"
 #include "bamboodock/transport/async_http_channel.h"
 
 namespace bamboodock {
@@ -21,8 +21,7 @@
   std::chrono::milliseconds batch_delay;
   /// Longest delay between retries while the store does not answer.
   std::chrono::milliseconds max_retry_delay;
-  /// Time for which removals are held back after an outage; zero to hold back none.
-  std::chrono::milliseconds removal_grace;
+  RowRetention retention;
 };
 
 extern const TableTiming kOperatorTiming;
@@ -32,12 +31,13 @@
 /// Connection and state with which the store duty follows one table.
 struct TableWatch {
   TableWatch(const std::string& name, const TableTiming& table_timing,
-             const asio::any_io_executor& executor, const Address& store)
+             const RowSequences& sequences, const asio::any_io_executor& executor,
+             const Address& store)
       : table(name),
         timing(table_timing),
         channel(executor, store),
         retry_timer(executor),
-        rows(name, table_timing.removal_grace) {}
+        rows(name, table_timing.retention, sequences) {}
 
   std::string table;
   TableTiming timing;
@@ -49,16 +49,15 @@
   std::uint32_t failures = 0;
   /// When the call in progress was sent; empty when there is none.
   std::optional<MonotonicTime> call_sent;
-  /// Whether the call in progress was closed in order to send it again.
+  /// Whether the next call is sent without a pause, since the last one was closed or has shown that
+  /// the store has returned from a copy.
   bool restarted = false;
   /// When the first and the last call failed, and how long the last one took.
   MonotonicTime failing_since{};
   MonotonicTime failed_at{};
   Duration last_failed_call{};
   MonotonicTime answered_at{};
-  std::uint64_t revision = 0;
-  /// Era of the last answer.
-  StoreEra era;
+  StoreRevision revision;
   FollowedRows rows;
 
   /// Delay before the next call after one that failed; empty to call at once.
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -58,6 +58,7 @@
     EventName{Event::kLeaseLost, "lease_lost"},
     EventName{Event::kStoreHistoryLost, "store_history_lost"},
     EventName{Event::kStoreRowsIgnored, "store_rows_ignored"},
+    EventName{Event::kStoreReturned, "store_returned"},
     EventName{Event::kSettingsReloaded, "settings_reloaded"},
     EventName{Event::kRouteTableInstalled, "route_table_installed"},
     EventName{Event::kConfigRejected, "config_rejected"},
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -60,6 +60,7 @@
   kLeaseLost = 606,
   kStoreHistoryLost = 607,
   kStoreRowsIgnored = 608,
+  kStoreReturned = 609,
   // 7xx: router.
   kSettingsReloaded = 700,
   kRouteTableInstalled = 701,
--- a/src/bamboodock/policy/registration_grace.h
+++ b/src/bamboodock/policy/registration_grace.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
+#include "bamboodock/core/store_revision.h"
 #include "bamboodock/core/units.h"
 
 namespace bamboodock {
@@ -23,7 +23,7 @@
 
   /// Records an answer of the store.
   /// @param revision Newest revision of the store when it answered.
-  void OnAnswer(std::uint64_t revision, MonotonicTime now) {
+  void OnAnswer(StoreRevision revision, MonotonicTime now) {
     if (!in_outage_) return;
     in_outage_ = false;
     return_revision_ = revision;
@@ -32,19 +32,21 @@
 
   /// Time until which an endpoint is kept whose registration was removed at `revision`; empty when
   /// the removal takes effect at once.
-  std::optional<MonotonicTime> KeepUntil(std::uint64_t revision, MonotonicTime now) const {
+  std::optional<MonotonicTime> KeepUntil(StoreRevision revision, MonotonicTime now) const {
     const MonotonicTime until = returned_at_ + grace_;
-    if (revision > return_revision_ || until <= now) return std::nullopt;
+    const bool is_of_the_outage =
+        revision.era == return_revision_.era && revision.number <= return_revision_.number;
+    if (!is_of_the_outage || until <= now) return std::nullopt;
     return until;
   }
 
-  /// Newest revision of the store when it last returned; 0 before the first outage.
-  std::uint64_t return_revision() const { return return_revision_; }
+  /// Newest revision of the store when it last returned; number 0 before the first outage.
+  StoreRevision return_revision() const { return return_revision_; }
 
  private:
   Duration grace_;
   bool in_outage_ = false;
-  std::uint64_t return_revision_ = 0;
+  StoreRevision return_revision_;
   MonotonicTime returned_at_{};
 };
 
--- /dev/null
+++ b/src/bamboodock/policy/returned_row.cc
@@ -0,0 +1,20 @@
+#include "bamboodock/policy/returned_row.h"
+
+#include <algorithm>
+
+namespace bamboodock {
+
+ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after) {
+  const auto known = std::find(before.writes.rbegin(), before.writes.rend(), after.write);
+  if (known != before.writes.rend()) {
+    const bool is_newest = known == before.writes.rbegin();
+    return is_newest && !before.removed ? ReturnedRowVerdict::kSurvived
+                                        : ReturnedRowVerdict::kOutdated;
+  }
+  if (!before.sequence || !after.sequence) return ReturnedRowVerdict::kNewer;
+  if (*after.sequence < *before.sequence) return ReturnedRowVerdict::kOutdated;
+  if (before.removed && *after.sequence == *before.sequence) return ReturnedRowVerdict::kOutdated;
+  return ReturnedRowVerdict::kNewer;
+}
+
+}  // namespace bamboodock
--- /dev/null
+++ b/src/bamboodock/policy/returned_row.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bamboodock {
+
+/// Order of the states of one row that their writer states itself, so that it holds whatever the
+/// store has lost.
+struct WriterSequence {
+  /// Start of the writer; a later start supersedes all states of the one before.
+  std::int64_t start = 0;
+  /// Increases with each state of one start.
+  std::uint64_t number = 0;
+
+  friend constexpr auto operator<=>(const WriterSequence&, const WriterSequence&) = default;
+};
+
+/// Tells one write of a row from the other writes of the same row.
+struct WriteMark {
+  /// Number of the revision in the era of the write.
+  std::uint64_t revision = 0;
+  /// Digest of the value.
+  std::uint64_t digest = 0;
+
+  friend constexpr bool operator==(const WriteMark&, const WriteMark&) = default;
+};
+
+/// What is known of a row from before the store has returned from an older copy.
+struct RowBeforeReturn {
+  /// Writes that are known, newest last; at least one.
+  std::vector<WriteMark> writes;
+  /// Order of the newest write; empty when it states none.
+  std::optional<WriterSequence> sequence;
+  /// Whether the row was removed after its newest write.
+  bool removed = false;
+};
+
+/// A row as the store holds it after its return.
+struct RowAfterReturn {
+  WriteMark write;
+  std::optional<WriterSequence> sequence;
+};
+
+enum class ReturnedRowVerdict : std::uint8_t {
+  /// The newest known write, which the copy still holds.
+  kSurvived,
+  /// A state that the known one supersedes.
+  kOutdated,
+  /// Written after the known state, as far as can be told.
+  kNewer,
+};
+
+/// Judges a row that the store holds after it has returned from an older copy.
+///
+/// The copy holds earlier states of rows, and writers write lost ones again under revisions that
+/// were given out before, so the revisions of both histories cannot be compared. A write that is
+/// known counts for what it was; others are ordered by their writer, and a row without such an
+/// order counts as newer. An equal order after a removal is the removed state.
+ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after);
+
+}  // namespace bamboodock
--- a/src/bamboodock/routing/directory_codec.h
+++ b/src/bamboodock/routing/directory_codec.h
@@ -8,9 +8,11 @@
 
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/result.h"
+#include "bamboodock/core/store_revision.h"
 #include "bamboodock/routing/endpoint_record.h"
 #include "bamboodock/routing/operator_orders.h"
 #include "bamboodock/routing/route_table.h"
+#include "bamboodock/routing/row_sequences.h"
 
 namespace bamboodock {
 
@@ -19,7 +21,7 @@
   std::string table;
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool deleted = false;
 };
 
@@ -40,18 +42,16 @@
   bool evacuation_ended = false;
 };
 
-/// Row to write on condition that the stored row has `expected_revision`; 0 when it must not exist,
-/// empty when the write is unconditional.
+/// Row to write on condition that the stored row has `expected_revision`, with number 0 when it
+/// must not exist; empty when the write is unconditional.
 struct RowWrite {
   StoreRow row;
-  std::optional<std::uint64_t> expected_revision;
+  std::optional<StoreRevision> expected_revision;
 };
 
 /// Decodes and encodes the rows of the platform's tables; implemented by an adapter.
-class DirectoryCodec {
+class DirectoryCodec : public RowSequences {
  public:
-  virtual ~DirectoryCodec() = default;
-
   /// Name of the operator's table.
   virtual std::string OperatorTable() const = 0;
   /// Name of the table in which endpoints register.
@@ -79,7 +79,7 @@
 struct StoreAnswer {
   std::vector<StoreRow> rows;
   /// Newest revision that the answer covers.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   /// Time on the store's clock when it answered.
   std::chrono::milliseconds store_now{0};
   /// Whether the table has further pages.
--- a/src/bamboodock/routing/operator_orders.h
+++ b/src/bamboodock/routing/operator_orders.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "bamboodock/core/ids.h"
+#include "bamboodock/core/store_revision.h"
 #include "bamboodock/core/units.h"
 
 namespace bamboodock {
@@ -14,7 +15,7 @@
   VersionId target;
   Duration time_limit{};
   /// Revision of the row in the store; increases with each order.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 /// State of a rollout as shown to the operator.
@@ -25,12 +26,12 @@
   ServiceId service;
   VersionId target;
   /// Revision of the order that this progress belongs to.
-  std::uint64_t order_revision = 0;
+  StoreRevision order_revision;
   RolloutState state = RolloutState::kRunning;
   /// Time on the store's clock at which the order was first observed.
   std::chrono::milliseconds started{0};
-  /// Revision of the progress row; 0 when the row does not exist yet.
-  std::uint64_t revision = 0;
+  /// Revision of the progress row; number 0 when the row does not exist yet.
+  StoreRevision revision;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/routing/peer_report.h
+++ b/src/bamboodock/routing/peer_report.h
@@ -9,6 +9,7 @@
 #include "bamboodock/core/ids.h"
 #include "bamboodock/core/quantity.h"
 #include "bamboodock/core/slowdown.h"
+#include "bamboodock/core/store_revision.h"
 #include "bamboodock/core/units.h"
 #include "bamboodock/policy/evidence_counters.h"
 #include "bamboodock/policy/prompt_evidence.h"
@@ -23,7 +24,7 @@
 struct RolloutEvidence {
   ServiceId service;
   /// Revision of the order; evidence for an older order is ignored.
-  std::uint64_t order_revision = 0;
+  StoreRevision order_revision;
   /// Answers of the target version.
   EvidenceCounters answers;
   /// Answers of the other versions since the order was given.
@@ -71,6 +72,8 @@
   std::uint64_t digest = 0;
   /// Time on the store's clock up to which the rows are known to be current.
   std::chrono::milliseconds until{0};
+  /// Era of the store in which they were read.
+  StoreEra era = {};
 };
 
 /// State that an entry sends to the other entries several times a second.
--- a/test/codec/peer_codec_test.cc
+++ b/test/codec/peer_codec_test.cc
@@ -34,7 +34,7 @@
     report.orders = {18446744073709551615U, std::chrono::milliseconds(123456)};
     report.pending.push_back({EndpointId("e1"), Tokens(12000)});
     RolloutEvidence evidence{
-        ServiceId("s1"), 41, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
+        ServiceId("s1"), {StoreEra(2), 41}, {}, {}, 3, {SessionHash(7), SessionHash(4000000000)}};
     evidence.answers.answers = 12;
     evidence.answers.errors = 2;
     evidence.answers.slow = 1;
@@ -51,7 +51,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->pending.size());
     CPPUNIT_ASSERT(decoded->pending[0].work == Tokens(12000));
     CPPUNIT_ASSERT(decoded->rollouts[0].service == evidence.service);
-    CPPUNIT_ASSERT(decoded->rollouts[0].order_revision == 41);
+    CPPUNIT_ASSERT(decoded->rollouts[0].order_revision == evidence.order_revision);
     CPPUNIT_ASSERT(decoded->rollouts[0].answers == evidence.answers);
     CPPUNIT_ASSERT(decoded->rollouts[0].old_answers == evidence.old_answers);
     CPPUNIT_ASSERT(decoded->rollouts[0].open_at_old == 3);
--- a/test/command/router/rollout_controller_test.cc
+++ b/test/command/router/rollout_controller_test.cc
@@ -14,10 +14,16 @@
 const VersionId kTarget("v2");
 constexpr std::chrono::seconds kTimeLimit{24};
 
-RolloutOrder MakeOrder(std::uint64_t revision) { return {kService, kTarget, kTimeLimit, revision}; }
+constexpr StoreEra kEra(1);
+
+StoreRevision At(std::uint64_t number) { return {kEra, number}; }
+
+RolloutOrder MakeOrder(std::uint64_t revision) {
+  return {kService, kTarget, kTimeLimit, At(revision)};
+}
 
 RolloutProgress Progress(std::uint64_t order_revision, RolloutState state) {
-  return {kService, kTarget, order_revision, state, milliseconds(1000), 5};
+  return {kService, kTarget, At(order_revision), state, milliseconds(1000), At(5)};
 }
 
 AttemptReport Report(AttemptOutcome outcome) {
@@ -51,7 +57,7 @@
   // Guards against an entry with little traffic that keeps the old version because it has too few
   // answers of its own (quiet-1 of EMVA, seed 487797827099).
   void EvidenceOfOtherEntriesCounts() {
-    RolloutEvidence evidence{kService, 41, {}, {}, 0, {}};
+    RolloutEvidence evidence{kService, At(41), {}, {}, 0, {}};
     evidence.answers.answers = 20;
     controller_.Apply(IncarnationId("other"), evidence);
     controller_.Tick(milliseconds(1000 + 23500), {});
@@ -60,7 +66,7 @@
 
   // Guards against evidence that is lost when an entry restarts.
   void RestartedEntryKeepsItsEvidence() {
-    RolloutEvidence evidence{kService, 41, {}, {}, 4, {}};
+    RolloutEvidence evidence{kService, At(41), {}, {}, 4, {}};
     evidence.answers.answers = 20;
     controller_.Apply(IncarnationId("first"), evidence);
     controller_.Tick(milliseconds(2000), {});
@@ -97,7 +103,7 @@
     for (int i = 0; i < 12; ++i) controller_.OnReport(Report(AttemptOutcome::kFailure), {});
     const auto writes = controller_.Tick(milliseconds(1000 + 5000), {});
     CPPUNIT_ASSERT(writes.size() == 1 && writes[0].state == RolloutState::kRolledBack);
-    CPPUNIT_ASSERT(writes[0].revision == 5);
+    CPPUNIT_ASSERT(writes[0].revision == At(5));
     CPPUNIT_ASSERT(controller_.IsTargetExcluded(kService));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_.Count(Event::kRolloutJudgedBad));
   }
@@ -109,8 +115,8 @@
     controller_.ApplyOrder(MakeOrder(60));
     CPPUNIT_ASSERT(!controller_.IsTargetOnly(kService) && controller_.IsTargetExcluded(kService));
     const auto writes = controller_.Tick(milliseconds(9000), {});
-    CPPUNIT_ASSERT(writes.size() == 1 && writes[0].order_revision == 60);
-    CPPUNIT_ASSERT(writes[0].revision == 5 && writes[0].state == RolloutState::kRunning);
+    CPPUNIT_ASSERT(writes.size() == 1 && writes[0].order_revision == At(60));
+    CPPUNIT_ASSERT(writes[0].revision == At(5) && writes[0].state == RolloutState::kRunning);
   }
 
   // Guards against a version on trial that receives more requests than the exposure bound, with
--- a/test/command/router/route_state_test.cc
+++ b/test/command/router/route_state_test.cc
@@ -13,6 +13,7 @@
 
 const ServiceId kService("s1");
 const AvailabilityZoneId kZone("z1");
+constexpr StoreRevision kOrderRevision{StoreEra(1), 41};
 
 Route MakeRoute(const std::string& prefix, bool allows_anonymous) {
   Route route;
@@ -466,7 +467,8 @@
   void OrderRollout() {
     OperatorDelta delta;
     delta.rows.emplace_back();
-    delta.rows.back().rollout = RolloutOrder{kService, VersionId("v2"), seconds(24), 41};
+    delta.rows.back().rollout =
+        RolloutOrder{kService, VersionId("v2"), seconds(24), kOrderRevision};
     delta.covered_until = clock_->Now();
     delta.store_read = clock_->Now();
     delta.store_now = seconds(5);
@@ -474,7 +476,7 @@
     RolloutProgress progress;
     progress.service = kService;
     progress.target = VersionId("v2");
-    progress.order_revision = 41;
+    progress.order_revision = kOrderRevision;
     state_->Apply(RouterDelta{{}, {progress}});
   }
   static AttemptReport Answer(const std::string& id, const std::string& version, Duration latency) {
--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -25,8 +25,10 @@
     R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,
         "state":"ready","coldRemainingMs":1500,"sequence":4,"born":1787956282063})";
 
+constexpr StoreEra kEra(2);
+
 StoreRow Row(std::string table, std::string key, std::string value) {
-  return {std::move(table), std::move(key), std::move(value), 5, false};
+  return {std::move(table), std::move(key), std::move(value), {kEra, 5}, false};
 }
 
 /// Progress in a row; empty when there is none or the row is malformed.
@@ -64,6 +66,7 @@
   CPPUNIT_TEST(RolloutProgressRoundTrips);
   CPPUNIT_TEST(MalformedProgressIsRejected);
   CPPUNIT_TEST(StoreAnswersAreClassified);
+  CPPUNIT_TEST(WritersOrderTheStatesOfTheirRows);
   CPPUNIT_TEST(EraIsReadFromEachAnswer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,19 +175,20 @@
     RolloutProgress progress;
     progress.service = ServiceId("s1");
     progress.target = VersionId("v2");
-    progress.order_revision = 41;
+    progress.order_revision = {kEra, 41};
     progress.state = RolloutState::kRolledBack;
     progress.started = std::chrono::milliseconds(7000);
-    progress.revision = 55;
+    progress.revision = {kEra, 55};
     const auto writes = PlatformDirectoryCodec().EncodeProgress(progress);
-    CPPUNIT_ASSERT(writes[0].expected_revision == 55U);
+    CPPUNIT_ASSERT(writes[0].expected_revision == progress.revision);
     CPPUNIT_ASSERT(writes[1].row.table == "status" && writes[1].row.key == "rollout/s1");
     CPPUNIT_ASSERT(writes[1].row.value.find("rolled_back") != std::string::npos);
     StoreRow row = writes[0].row;
-    row.revision = 60;
+    row.revision = {kEra, 60};
     const auto read = ReadProgress(row);
     CPPUNIT_ASSERT(read && read->state == RolloutState::kRolledBack);
-    CPPUNIT_ASSERT(read->order_revision == 41 && read->revision == 60);
+    CPPUNIT_ASSERT(read->order_revision == progress.order_revision &&
+                   read->revision == row.revision);
     CPPUNIT_ASSERT(read->started == std::chrono::milliseconds(7000));
   }
 
@@ -211,7 +215,7 @@
     CPPUNIT_ASSERT(CodeOf({429, {}, ""}) == ResultCode::kStoreUnavailable);
     CPPUNIT_ASSERT(CodeOf({200, {}, "{\"rows\":[{}]}"}) == ResultCode::kBadMessage);
     const TableStoreProtocol protocol;
-    const auto request = protocol.Transact({{Row("t", "k", "node-1"), 3U}});
+    const auto request = protocol.Transact({{Row("t", "k", "node-1"), StoreRevision{kEra, 3}}});
     CPPUNIT_ASSERT(request.body.find("bm9kZS0x") != std::string::npos);
     CPPUNIT_ASSERT(request.body.find("\"ver\":3") != std::string::npos);
     const HttpResponse response{
@@ -220,14 +224,29 @@
                  "ver":12,"nowMs":70,"morePages":false})"};
     HandleFailure(
         [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(answer, protocol.DecodeAnswer(response));
+          BOOST_LEAF_AUTO(answer, protocol.DecodeAnswer(response, kEra));
           CPPUNIT_ASSERT(answer.rows.size() == 2 && answer.rows[0].value == "node-1");
-          CPPUNIT_ASSERT(answer.rows[1].deleted && answer.revision == 12);
+          CPPUNIT_ASSERT(answer.rows[1].deleted && answer.revision.number == 12);
+          CPPUNIT_ASSERT(answer.revision.era == kEra && answer.rows[0].revision.era == kEra);
           return {};
         },
         [](const Failure& failure) { CPPUNIT_FAIL(failure.detail); });
   }
 
+  // Guards against states of a row that are ordered by the revisions of a store that has lost some.
+  void WritersOrderTheStatesOfTheirRows() {
+    const PlatformDirectoryCodec codec;
+    const auto config = codec.SequenceOf(Row("op", "config", kConfig));
+    CPPUNIT_ASSERT(config == (WriterSequence{0, 7}));
+    const auto endpoint = codec.SequenceOf(Row("servers", "i-1", kRegistration));
+    CPPUNIT_ASSERT(endpoint == (WriterSequence{1787956282063, 4}));
+    CPPUNIT_ASSERT(!codec.SequenceOf(Row("op", "evacuate/z1", "{}")));
+    for (const char* value : {"", "[]", "7", "{}", R"({"sequence":"x"})", R"({"born":1})"}) {
+      CPPUNIT_ASSERT_MESSAGE(value, !codec.SequenceOf(Row("servers", "i-1", value)));
+      CPPUNIT_ASSERT_MESSAGE(value, !codec.SequenceOf(Row("op", "config", value)));
+    }
+  }
+
   // Guards against an era that is read from successes only, and against text that counts as one.
   void EraIsReadFromEachAnswer() {
     const TableStoreProtocol protocol;
@@ -244,7 +263,7 @@
   static ResultCode CodeOf(const HttpResponse& response) {
     return HandleFailure(
         [&]() -> Result<ResultCode> {
-          BOOST_LEAF_CHECK(TableStoreProtocol().DecodeAnswer(response));
+          BOOST_LEAF_CHECK(TableStoreProtocol().DecodeAnswer(response, kEra));
           return ResultCode::kOk;
         },
         [](const Failure& failure) { return failure.code; });
--- a/test/policy/registration_grace_test.cc
+++ b/test/policy/registration_grace_test.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kGrace{2200};
-constexpr std::uint64_t kReturnRevision = 22;
+constexpr StoreEra kEra(1);
+constexpr StoreRevision kReturnRevision{kEra, 22};
 
 }  // namespace
 
@@ -18,6 +19,7 @@
   CPPUNIT_TEST(RemovalAfterTheReturnTakesEffectAtOnce);
   CPPUNIT_TEST(RemovalWithoutAnOutageTakesEffectAtOnce);
   CPPUNIT_TEST(GraceIsCountedFromTheReturn);
+  CPPUNIT_TEST(RemovalOfAnotherEraTakesEffectAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -31,23 +33,30 @@
   // Guards against requests to an endpoint that leaves within the grace time (incident
   // leaving-after-store-return).
   void RemovalAfterTheReturnTakesEffectAtOnce() {
-    CPPUNIT_ASSERT(!AfterOutage().KeepUntil(kReturnRevision + 1, At(1500)));
+    CPPUNIT_ASSERT(
+        !AfterOutage().KeepUntil(StoreRevision{kEra, kReturnRevision.number + 1}, At(1500)));
   }
 
   void RemovalWithoutAnOutageTakesEffectAtOnce() {
     RegistrationGrace grace(kGrace);
     grace.OnAnswer(kReturnRevision, At(1000));
-    CPPUNIT_ASSERT(!grace.KeepUntil(1, At(1000)));
+    CPPUNIT_ASSERT(!grace.KeepUntil({kEra, 1}, At(1000)));
   }
 
   // Guards against answers after the return that extend the grace time again and again.
   void GraceIsCountedFromTheReturn() {
     RegistrationGrace grace = AfterOutage();
-    grace.OnAnswer(kReturnRevision + 5, At(2000));
-    CPPUNIT_ASSERT_EQUAL(kReturnRevision, grace.return_revision());
+    grace.OnAnswer(StoreRevision{kEra, kReturnRevision.number + 5}, At(2000));
+    CPPUNIT_ASSERT(grace.return_revision() == kReturnRevision);
     CPPUNIT_ASSERT(grace.KeepUntil(kReturnRevision, At(2000)) == At(1000) + kGrace);
   }
 
+  // Guards against a removal that is held back, since its revision is compared with one that was
+  // given out before the store returned from an older copy (incident store-returns-from-copy).
+  void RemovalOfAnotherEraTakesEffectAtOnce() {
+    CPPUNIT_ASSERT(!AfterOutage().KeepUntil({kEra.Next(), 5}, At(1500)));
+  }
+
  private:
   static RegistrationGrace AfterOutage() {
     RegistrationGrace grace(kGrace);
