Report the ends of planned attempts in the fake entry

Cause: StoreReturnTest plans attempts without reporting their ends, so endpoints fill up and the set of endpoints that get requests depends on the number of plans before. RemovedEndpointOfTheCopyGetsNoRequests takes a full endpoint for a removed one. Change: FollowingEntry reports each attempt as cancelled at once.

--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -50,7 +50,7 @@
   /// Result code of a request to the path; `kOk` when an attempt is planned.
   ResultCode Code(const std::string& path, const std::string& key) {
     const std::lock_guard lock(mutex_);
-    const PlanAnswer answer = state_.Plan(Query(path, key));
+    const PlanAnswer answer = Plan(path, key);
     return answer.plan ? ResultCode::kOk : answer.refusal.code;
   }
   /// Endpoints among which requests of `key` to "/a/" are divided.
@@ -59,7 +59,7 @@
     const std::lock_guard lock(mutex_);
     std::set<std::string> endpoints;
     for (int i = 0; i < kQueries; ++i) {
-      const PlanAnswer answer = state_.Plan(Query("/a/", key));
+      const PlanAnswer answer = Plan("/a/", key);
       if (answer.plan) endpoints.insert(answer.plan->endpoint.value());
     }
     return endpoints;
@@ -94,6 +94,23 @@
     return query;
   }
 
+  /// Plans an attempt and reports its end at once, so that endpoints don't fill up with attempts.
+  PlanAnswer Plan(const std::string& path, const std::string& key) {
+    PlanAnswer answer = state_.Plan(Query(path, key));
+    if (!answer.plan) return answer;
+    AttemptReport report;
+    report.endpoint = answer.plan->endpoint;
+    report.started = answer.plan->started;
+    report.service = answer.plan->progress.service->id;
+    report.route = answer.plan->progress.route->id;
+    report.version = answer.plan->version;
+    report.outcome = AttemptOutcome::kCancelled;
+    report.work = answer.plan->work;
+    report.model = answer.plan->model;
+    state_.Apply(report);
+    return answer;
+  }
+
   BootClock clock_;
   NullEventLog log_;
   platform::PlatformDirectoryCodec directory_;
