Write the row of this entry again after the store's return

Cause: an entry writes its row once, at its start. A copy that lacks it leaves the entry unknown to those that start later. Answers to writes show a return too. Calls that are sent again without a pause are at least 600 ms apart, and a listing whose pages are of two eras is dropped. Orders that the copy contradicts are held to for 30 s, states of endpoints for 10 s.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -24,6 +24,10 @@
 /// The store answers calls at once while it is not known to answer again. A call that it held could
 /// have been lost, and would be noticed only when its whole wait is over.
 constexpr std::chrono::milliseconds kProbeWait{1};
+/// Time over which the entries write their rows again after the store's return.
+constexpr std::chrono::seconds kSelfRewriteSpread{5};
+/// Name of the answers to writes in the log.
+constexpr std::string_view kWrites = "writes";
 constexpr std::size_t kInboxCapacity = 256;
 
 }  // namespace
@@ -41,13 +45,17 @@
       operator_watch_(codec.OperatorTable(), kOperatorTiming, codec, loop_.get_executor(), store),
       endpoint_watch_(codec.EndpointTable(), kEndpointTiming, codec, loop_.get_executor(), store),
       router_watch_(codec.RouterTable(), kRouterTiming, codec, loop_.get_executor(), store),
-      writer_(loop_, store, self, codec, protocol, log) {}
+      writer_(loop_, store, self, codec, protocol, clock, log,
+              [this](const HttpResponse& response, MonotonicTime sent) {
+                IsOfPresentEra(response, sent, kWrites);
+              }) {}
 
 void StoreDuty::Start() {
   asio::co_spawn(loop_, Follow(operator_watch_, &StoreDuty::EmitOperator), asio::detached);
   asio::co_spawn(loop_, Follow(endpoint_watch_, &StoreDuty::EmitEndpoints), asio::detached);
   asio::co_spawn(loop_, Follow(router_watch_, &StoreDuty::EmitRouter), asio::detached);
-  writer_.WriteSelf();
+  writer_.WriteSelf(std::chrono::milliseconds(0));
+  writer_.Start();
   thread_ = std::thread([this] { loop_.run(); });
 }
 
@@ -105,25 +113,28 @@
                          era_.era().value()));
 }
 
-bool StoreDuty::ObserveEra(const HttpResponse& response, MonotonicTime sent,
-                           std::string_view source) {
-  const StoreEra before = era_.era();
-  const MonotonicTime now = clock_.Now();
-  const EraVerdict verdict = era_.Observe(protocol_.EraOf(response), sent, now);
-  if (verdict != EraVerdict::kReturned) return verdict == EraVerdict::kCurrent;
+bool StoreDuty::IsOfPresentEra(const HttpResponse& response, MonotonicTime sent,
+                               std::string_view source) {
+  const StoreEra previous = era_.era();
+  const EraVerdict verdict = era_.Observe(protocol_.EraOf(response), sent, clock_.Now());
+  if (verdict == EraVerdict::kReturned) OnStoreReturned(previous, source);
+  return verdict == EraVerdict::kCurrent;
+}
+
+void StoreDuty::OnStoreReturned(StoreEra previous, std::string_view noticed_by) {
   log_.Write(Event::kStoreReturned, RequestId(),
              fmt::format("era={} previous_era={} noticed_by={} op_revision={} servers_revision={}",
-                         era_.era().value(), before.value(), source,
+                         era_.era().value(), previous.value(), noticed_by,
                          operator_watch_.revision.number, endpoint_watch_.revision.number));
   // The clock of the store may have been set back with its rows.
   store_clock_ = StoreClock();
   for (TableWatch* watch : Watches()) ListAgain(*watch);
-  return false;
+  writer_.WriteSelf(SpreadOverHosts(kSelfRewriteSpread));
 }
 
 void StoreDuty::ListAgain(TableWatch& watch) {
   watch.listed = false;
-  watch.restarted = true;
+  watch.send_again = true;
   watch.retry_timer.cancel();
   if (watch.call_sent) watch.channel.Close();
 }
@@ -133,7 +144,7 @@
     if (other == &recovered) continue;
     other->retry_timer.cancel();
     if (!other->call_sent || *other->call_sent >= recovered.failed_at) continue;
-    other->restarted = true;
+    other->send_again = true;
     MarkFailing(*other, "call sent before table " + recovered.table + " was answered again",
                 clock_.Now() - *other->call_sent);
     other->channel.Close();
@@ -152,19 +163,19 @@
                                                              std::chrono::milliseconds timeout) {
   const MonotonicTime sent = clock_.Now();
   watch.call_sent = sent;
-  watch.restarted = false;
+  watch.send_again = false;
   const HttpExchangeResult result = co_await watch.channel.Call(std::move(request), timeout);
   watch.call_sent.reset();
   const MonotonicTime received = clock_.Now();
   if (!result.response) {
-    if (watch.restarted) co_return std::nullopt;
+    if (watch.send_again) co_return std::nullopt;
     RecordFailure(watch, sent, result.error.message());
     // Listings come in pages, so they get on where a feed has more changes than one answer holds.
     if (IsLimitError(result.error)) watch.listed = false;
     co_return std::nullopt;
   }
-  if (!ObserveEra(*result.response, sent, watch.table)) {
-    watch.restarted = true;
+  if (!IsOfPresentEra(*result.response, sent, watch.table)) {
+    watch.send_again = true;
     co_return std::nullopt;
   }
   std::optional<StoreAnswer> answer = HandleFailure(
@@ -221,6 +232,8 @@
     HttpRequest request = protocol_.List(watch.table, from);
     std::optional<StoreAnswer> answer = co_await Query(watch, std::move(request), kAnswerTimeout);
     if (!answer) co_return false;
+    // Pages of different eras are no listing of one state.
+    if (revision && revision->era != answer->revision.era) co_return false;
     // Keeps the revision of the first page, so that the feed includes changes made between pages.
     if (!revision) revision = answer->revision;
     for (StoreRow& row : answer->rows) rows.push_back(std::move(row));
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -85,11 +85,12 @@
   /// Has the table listed again; the store answers, so this is no outage.
   void RecordHistoryLoss(TableWatch& watch);
   void MarkFailing(TableWatch& watch, const std::string& reason, Duration call_time);
-  /// Takes note of the era of an answer; returns whether the answer may be used. An answer that
-  /// shows that the store has returned from an older copy has all tables listed again.
+  /// Takes note of the era of an answer; returns whether the answer may be used.
   ///
   /// @param source Table or write that the answer belongs to, for the log.
-  bool ObserveEra(const HttpResponse& response, MonotonicTime sent, std::string_view source);
+  bool IsOfPresentEra(const HttpResponse& response, MonotonicTime sent, std::string_view source);
+  /// Has all tables listed and the row of this entry written again.
+  void OnStoreReturned(StoreEra previous, std::string_view noticed_by);
   /// Lists the table at once; a call in progress is closed.
   static void ListAgain(TableWatch& watch);
   void OnPeerKnowledge(const PeerKnowledge& peers);
--- a/src/bamboodock/command/router/store_writer.cc
+++ b/src/bamboodock/command/router/store_writer.cc
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
 namespace bamboodock {
@@ -24,49 +24,92 @@
 }  // namespace
 
 StoreWriter::StoreWriter(asio::io_context& loop, const Address& store, PeerRecord self,
-                         const DirectoryCodec& codec, const StoreProtocol& protocol, EventLog& log)
+                         const DirectoryCodec& codec, const StoreProtocol& protocol,
+                         const Clock& clock, EventLog& log, AnswerObserver on_answer)
     : loop_(loop),
       self_(std::move(self)),
       codec_(codec),
       protocol_(protocol),
+      clock_(clock),
       log_(log),
-      channel_(loop.get_executor(), store) {}
+      on_answer_(std::move(on_answer)),
+      channel_(loop.get_executor(), store),
+      wake_(loop) {}
 
-void StoreWriter::WriteSelf() { asio::co_spawn(loop_, RunWriteSelf(), asio::detached); }
+void StoreWriter::Start() { asio::co_spawn(loop_, Run(), asio::detached); }
+
+void StoreWriter::WriteSelf(std::chrono::milliseconds delay) {
+  const auto due = std::chrono::steady_clock::now() + delay;
+  self_due_ = std::min(self_due_.value_or(due), due);
+  wake_.cancel();
+}
 
 void StoreWriter::WriteProgress(const RolloutProgress& progress) {
   if (!pending_writes_.insert(progress.service).second) return;
-  asio::co_spawn(loop_, RunWriteProgress(progress), asio::detached);
+  queue_.push_back(progress);
+  wake_.cancel();
 }
 
-asio::awaitable<void> StoreWriter::Sleep(std::chrono::milliseconds time) {
-  asio::steady_timer timer(loop_, time);
-  co_await timer.async_wait(asio::use_awaitable);
+asio::awaitable<void> StoreWriter::WaitForWork() {
+  if (!queue_.empty()) co_return;
+  wake_.expires_at(self_due_.value_or(std::chrono::steady_clock::time_point::max()));
+  SocketError cancelled;
+  co_await wake_.async_wait(CaptureError(cancelled));
 }
 
-asio::awaitable<void> StoreWriter::RunWriteSelf() {
+asio::awaitable<void> StoreWriter::Run() {
   while (true) {
-    const HttpRequest request = protocol_.Transact({codec_.EncodePeer(self_)});
-    const HttpExchangeResult result = co_await channel_.Call(request, kAnswerTimeout);
-    if (StatusOf(result) == 200) co_return;
-    log_.Write(Event::kStoreWriteFailed, RequestId(),
-               fmt::format("cannot write the row of this entry: status={} error='{}'",
-                           StatusOf(result), result.error.message()));
-    co_await Sleep(kRegistrationRetryDelay);
+    if (self_due_ && *self_due_ <= std::chrono::steady_clock::now()) {
+      co_await SendSelf();
+      continue;
+    }
+    if (queue_.empty()) {
+      co_await WaitForWork();
+      continue;
+    }
+    RolloutProgress progress = std::move(queue_.front());
+    queue_.pop_front();
+    co_await SendProgress(std::move(progress));
   }
 }
 
-asio::awaitable<void> StoreWriter::RunWriteProgress(RolloutProgress progress) {
-  const HttpRequest request = protocol_.Transact(codec_.EncodeProgress(progress));
-  const HttpExchangeResult result = co_await channel_.Call(request, kAnswerTimeout);
+asio::awaitable<HttpExchangeResult> StoreWriter::Send(HttpRequest request) {
+  const MonotonicTime sent = clock_.Now();
+  HttpExchangeResult result = co_await channel_.Call(std::move(request), kAnswerTimeout);
+  if (result.response) on_answer_(*result.response, sent);
+  co_return result;
+}
+
+asio::awaitable<void> StoreWriter::SendSelf() {
+  // A return of the store that is noticed during the write has the row written once more.
+  self_due_.reset();
+  std::vector<RowWrite> writes;
+  writes.push_back(codec_.EncodePeer(self_));
+  HttpRequest request = protocol_.Transact(writes);
+  const HttpExchangeResult result = co_await Send(std::move(request));
+  if (StatusOf(result) == 200) co_return;
+  log_.Write(Event::kStoreWriteFailed, RequestId(),
+             fmt::format("cannot write the row of this entry: status={} error='{}'",
+                         StatusOf(result), result.error.message()));
+  WriteSelf(kRegistrationRetryDelay);
+}
+
+asio::awaitable<void> StoreWriter::SendProgress(RolloutProgress progress) {
+  HttpRequest request = protocol_.Transact(codec_.EncodeProgress(progress));
+  const HttpExchangeResult result = co_await Send(std::move(request));
   const int status = StatusOf(result);
   log_.Write(status == 200 ? Event::kRolloutWritten : Event::kStoreWriteFailed, RequestId(),
              fmt::format("service={} target={} state={} expected_revision={} status={} error='{}'",
                          progress.service.value(), progress.target.value(),
                          static_cast<int>(progress.state), progress.revision.number, status,
                          result.error.message()));
-  co_await Sleep(kRewriteDelay);
-  pending_writes_.erase(progress.service);
+  asio::co_spawn(loop_, EndProgressWrite(progress.service), asio::detached);
+}
+
+asio::awaitable<void> StoreWriter::EndProgressWrite(ServiceId service) {
+  asio::steady_timer timer(loop_, kRewriteDelay);
+  co_await timer.async_wait(asio::use_awaitable);
+  pending_writes_.erase(service);
 }
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/table_watch.cc
+++ b/src/bamboodock/command/router/table_watch.cc
@@ -14,8 +14,13 @@
 constexpr std::chrono::milliseconds kListingInterval{600};
 /// Time within which endpoints that are alive register again after the store's return.
 constexpr std::chrono::milliseconds kRegistrationGrace{2200};
-/// Time for which what an older copy contradicts is held to, so that it can be written again.
-constexpr std::chrono::seconds kRewriteTime{30};
+/// Time for which orders are kept that an older copy contradicts, so that they can be written again.
+constexpr std::chrono::seconds kOrderRewriteTime{30};
+/// The same for the states of endpoints, which renew their registrations every few seconds.
+constexpr std::chrono::seconds kRegistrationRewriteTime{10};
+/// Shortest interval of calls that are sent again without a pause, so that a store whose answers
+/// state eras in turns is not called in a loop.
+constexpr std::chrono::milliseconds kUnpausedCallInterval{600};
 
 }  // namespace
 
@@ -25,8 +30,8 @@
                                   .batch_delay = std::chrono::milliseconds(0),
                                   .max_retry_delay = kInitialRetryDelay,
                                   .retention = {.expiry_grace = Duration::zero(),
-                                                .missing_grace = kRewriteTime,
-                                                .outdated_hold = kRewriteTime,
+                                                .missing_grace = kOrderRewriteTime,
+                                                .outdated_hold = kOrderRewriteTime,
                                                 .redelivers_survivors = true}};
 
 // Changes end a feed call at once, and keep-alive probes detect a dead connection, so the calls can
@@ -37,7 +42,7 @@
                                   .max_retry_delay = std::chrono::milliseconds(600),
                                   .retention = {.expiry_grace = kRegistrationGrace,
                                                 .missing_grace = kRegistrationGrace,
-                                                .outdated_hold = kRewriteTime,
+                                                .outdated_hold = kRegistrationRewriteTime,
                                                 .redelivers_survivors = false}};
 
 // The other tables notice the end of an outage earlier, and have this one called again then. The
@@ -48,7 +53,10 @@
                                 .retention = {.redelivers_survivors = true}};
 
 std::optional<std::chrono::milliseconds> TableWatch::TakeRetryDelay(MonotonicTime now) {
-  if (std::exchange(restarted, false)) return std::nullopt;
+  if (std::exchange(send_again, false) && now - sent_again_at >= kUnpausedCallInterval) {
+    sent_again_at = now;
+    return std::nullopt;
+  }
   const bool may_list_again = now - listed_at >= kListingInterval;
   if (!listed && failures <= 1 && may_list_again) return std::nullopt;
   const auto backoff = kInitialRetryDelay * (1U << std::clamp(failures, 1U, kMaxDoublings)) / 2;
--- a/src/bamboodock/command/router/table_watch.h
+++ b/src/bamboodock/command/router/table_watch.h
@@ -51,7 +51,8 @@
   std::optional<MonotonicTime> call_sent;
   /// Whether the next call is sent without a pause, since the last one was closed or has shown that
   /// the store has returned from a copy.
-  bool restarted = false;
+  bool send_again = false;
+  MonotonicTime sent_again_at{};
   /// When the first and the last call failed, and how long the last one took.
   MonotonicTime failing_since{};
   MonotonicTime failed_at{};
