Hold what a copy contradicts through outages, listings and replayed writes

What callers would see: an endpoint that drains gets requests while its lost states are written again one after the other; an endpoint that has left gets requests after the hold, since its row was dropped from the store by a listing only; endpoints are given up that could not register in a second outage; an order that is given again as before has no effect. Cause: a row of the new era was judged once, and its next write was ordered by revision alone; the time of a hold ran on while the store was away; a listing ended no hold; a write was taken for one of the copy whatever its revision. Change: the state in force keeps its revision, and rows of other eras are judged against it until the store holds it in the present era. HeldRows counts time only while the store answers. The first listing of an era tells rows of the copy from later ones.

--- a/src/bamboodock/command/router/followed_rows.cc
+++ b/src/bamboodock/command/router/followed_rows.cc
@@ -32,14 +32,34 @@
 
 }  // namespace
 
+void FollowedRows::OnOutage() {
+  grace_.OnOutage();
+  held_.OnOutage();
+}
+
+void FollowedRows::OnAnswer(StoreRevision revision, MonotonicTime now) {
+  grace_.OnAnswer(revision, now);
+  held_.OnAnswer(now);
+}
+
+bool FollowedRows::MayBeOfCopy(StoreRevision revision) const {
+  const bool is_listed = first_listing_.era == revision.era;
+  return !is_listed || revision <= first_listing_;
+}
+
+void FollowedRows::ReleaseHolds(const std::string& key) {
+  deferred_removals_.erase(key);
+  held_.Release(key);
+}
+
 void FollowedRows::Apply(StoreRow row, TrackedRow& tracked, RowChanges& changes) {
-  tracked.revision = row.revision;
+  ReleaseHolds(row.key);
+  tracked.read = row.revision;
+  tracked.in_force = row.revision;
   tracked.value = row.value;
   tracked.removed = false;
   tracked.undelivered = false;
   Remember(tracked.writes, MarkOf(row));
-  deferred_removals_.erase(row.key);
-  outdated_rows_.erase(row.key);
   changes.rows.push_back(std::move(row));
 }
 
@@ -47,20 +67,20 @@
   const auto found = tracked_.find(row.key);
   if (found == tracked_.end()) return;
   TrackedRow& tracked = found->second;
-  outdated_rows_.erase(row.key);
+  held_.Release(row.key);
   if (tracked.removed && !tracked.undelivered) {
-    tracked.revision = std::max(tracked.revision, row.revision);
+    tracked.read = std::max(tracked.read, row.revision);
     return;
   }
   const auto until = grace_.KeepUntil(row.revision, now);
   if (until && !tracked.undelivered) {
-    if (!deferred_removals_.try_emplace(row.key, PendingRemoval{*until, std::nullopt}).second)
-      return;
+    if (!deferred_removals_.try_emplace(row.key, *until).second) return;
     changes.deferred.push_back({row.key, row.revision, *until});
     return;
   }
   deferred_removals_.erase(row.key);
-  tracked.revision = std::max(tracked.revision, row.revision);
+  tracked.read = std::max(tracked.read, row.revision);
+  tracked.in_force = tracked.read;
   tracked.removed = true;
   tracked.removed_at = now;
   tracked.undelivered = false;
@@ -68,31 +88,33 @@
 }
 
 ReturnedRowVerdict FollowedRows::Judge(const StoreRow& row, const TrackedRow& tracked) const {
-  StoreRow known{table_, row.key, tracked.value, tracked.revision, false};
+  const StoreRow known{table_, row.key, tracked.value, tracked.in_force, false};
   return JudgeReturnedRow({tracked.writes, sequences_.SequenceOf(known), tracked.removed},
-                          {MarkOf(row), sequences_.SequenceOf(row)});
+                          {MarkOf(row), sequences_.SequenceOf(row), MayBeOfCopy(row.revision)});
 }
 
 void FollowedRows::UpdateReturnedRow(StoreRow row, TrackedRow& tracked, MonotonicTime now,
                                      RowChanges& changes) {
+  const bool is_known = row.revision == tracked.read && held_.HoldsRow(row.key);
+  if (is_known) return;
   const ReturnedRowVerdict verdict = Judge(row, tracked);
   if (verdict == ReturnedRowVerdict::kNewer) {
     Apply(std::move(row), tracked, changes);
     return;
   }
-  deferred_removals_.erase(row.key);
-  const StoreRevision known = std::exchange(tracked.revision, row.revision);
+  ReleaseHolds(row.key);
+  tracked.read = row.revision;
   if (verdict == ReturnedRowVerdict::kSurvived) {
+    tracked.in_force = row.revision;
     if (retention_.redelivers_survivors) changes.rows.push_back(std::move(row));
     return;
   }
-  changes.ignored.push_back({row.key, row.revision, known});
+  changes.ignored.push_back({row.key, row.revision, tracked.in_force});
   if (retention_.outdated_hold <= Duration::zero()) {
     changes.rows.push_back(std::move(row));
     return;
   }
-  const std::string key = row.key;
-  outdated_rows_.insert_or_assign(key, OutdatedRow{std::move(row), now + retention_.outdated_hold});
+  held_.Hold(std::move(row), retention_.outdated_hold, now);
 }
 
 void FollowedRows::UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes) {
@@ -106,17 +128,17 @@
     Apply(std::move(row), tracked, changes);
     return;
   }
-  if (row.revision.era != tracked.revision.era) {
+  if (row.revision.era != tracked.in_force.era) {
     UpdateReturnedRow(std::move(row), tracked, now, changes);
     return;
   }
-  if (row.revision > tracked.revision) {
+  if (row.revision > tracked.read) {
     Apply(std::move(row), tracked, changes);
     return;
   }
-  deferred_removals_.erase(row.key);
-  if (row.revision == tracked.revision) return;
-  changes.ignored.push_back({row.key, row.revision, tracked.revision});
+  ReleaseHolds(row.key);
+  if (row.revision == tracked.read) return;
+  changes.ignored.push_back({row.key, row.revision, tracked.in_force});
 }
 
 RowChanges FollowedRows::Update(std::vector<StoreRow> rows, MonotonicTime now) {
@@ -126,23 +148,28 @@
   return changes;
 }
 
-void FollowedRows::KeepMissing(const std::string& key, StoreRevision listed, MonotonicTime now,
+void FollowedRows::KeepMissing(const std::string& key, StoreEra era, MonotonicTime now,
                                RowChanges& changes) {
-  const auto [found, added] = deferred_removals_.try_emplace(key);
-  PendingRemoval& removal = found->second;
-  if (!added && removal.missing_since == listed.era) return;
-  removal = {now + retention_.missing_grace, listed.era};
-  changes.deferred.push_back({key, listed, removal.until});
+  if (held_.MissingSince(key) == era) return;
+  const StoreRow missing{table_, key, "", {era, 0}, true};
+  held_.Hold(missing, retention_.missing_grace, now);
+  deferred_removals_.erase(key);
+  changes.deferred.push_back({key, missing.revision, now + retention_.missing_grace});
 }
 
 RowChanges FollowedRows::Replace(std::vector<StoreRow> rows, StoreRevision since,
                                  StoreRevision listed, MonotonicTime now) {
+  if (first_listing_.era != listed.era) first_listing_ = listed;
   const std::set<std::string, std::less<>> present = KeysOf(rows);
   RowChanges missing;
   for (const auto& [key, tracked] : tracked_) {
-    if (present.contains(key) || (tracked.removed && !tracked.undelivered)) continue;
-    if (tracked.revision.era != listed.era && !tracked.undelivered) {
-      KeepMissing(key, listed, now, missing);
+    if (present.contains(key)) continue;
+    if (tracked.removed && !tracked.undelivered) {
+      held_.Release(key);
+      continue;
+    }
+    if (tracked.read.era != listed.era && !tracked.undelivered) {
+      KeepMissing(key, listed.era, now, missing);
     } else {
       rows.push_back({table_, key, "", {listed.era, since.number + 1}, true});
     }
@@ -152,43 +179,45 @@
   return changes;
 }
 
-std::vector<StoreRow> FollowedRows::TakeDue(MonotonicTime now) {
+std::vector<StoreRow> FollowedRows::TakeDueRemovals(MonotonicTime now) {
   std::vector<StoreRow> due;
   std::erase_if(deferred_removals_, [&](const auto& entry) {
-    const auto& [key, removal] = entry;
-    if (removal.until > now) return false;
+    const auto& [key, until] = entry;
+    if (until > now) return false;
     due.push_back({table_, key, "", {}, true});
-    if (removal.missing_since) {
-      tracked_.erase(key);
-    } else {
-      TrackedRow& tracked = tracked_.at(key);
-      tracked.removed = true;
-      tracked.removed_at = now;
-    }
+    TrackedRow& tracked = tracked_.at(key);
+    tracked.in_force = tracked.read;
+    tracked.removed = true;
+    tracked.removed_at = now;
     return true;
   });
-  RowChanges outdated;
-  while (true) {
-    const auto next = std::find_if(outdated_rows_.begin(), outdated_rows_.end(),
-                                   [&](const auto& entry) { return entry.second.until <= now; });
-    if (next == outdated_rows_.end()) break;
-    StoreRow row = std::move(next->second.row);
-    outdated_rows_.erase(next);
-    TrackedRow& tracked = tracked_[row.key];
-    Apply(std::move(row), tracked, outdated);
+  return due;
+}
+
+std::vector<StoreRow> FollowedRows::TakeDueHeldRows(MonotonicTime now) {
+  RowChanges due;
+  for (StoreRow& row : held_.TakeDue(now)) {
+    if (row.deleted) {
+      // Not remembered as removed, since its writer may write the same row again.
+      tracked_.erase(row.key);
+      due.rows.push_back(std::move(row));
+    } else {
+      TrackedRow& tracked = tracked_[row.key];
+      Apply(std::move(row), tracked, due);
+    }
   }
-  due.insert(due.end(), outdated.rows.begin(), outdated.rows.end());
+  return std::move(due.rows);
+}
+
+std::vector<StoreRow> FollowedRows::TakeDue(MonotonicTime now) {
+  std::vector<StoreRow> due = TakeDueRemovals(now);
+  for (StoreRow& row : TakeDueHeldRows(now)) due.push_back(std::move(row));
   return due;
 }
 
 std::optional<MonotonicTime> FollowedRows::NextDue() const {
-  std::optional<MonotonicTime> next;
-  for (const auto& [key, removal] : deferred_removals_) {
-    next = std::min(next.value_or(removal.until), removal.until);
-  }
-  for (const auto& [key, outdated] : outdated_rows_) {
-    next = std::min(next.value_or(outdated.until), outdated.until);
-  }
+  std::optional<MonotonicTime> next = held_.NextDue();
+  for (const auto& [key, until] : deferred_removals_) next = std::min(next.value_or(until), until);
   return next;
 }
 
@@ -200,9 +229,10 @@
   std::uint64_t digest = 0;
   for (const auto& [key, tracked] : tracked_) {
     const bool in_force = !tracked.removed && !deferred_removals_.contains(key);
-    if (!in_force && !outdated_rows_.contains(key)) continue;
+    const bool is_missing = held_.MissingSince(key).has_value();
+    if ((!in_force || is_missing) && !held_.HoldsRow(key)) continue;
     // Adds the hashes, since a sum does not depend on the order of the rows.
-    digest += XXH3_64bits_withSeed(key.data(), key.size(), tracked.revision.number);
+    digest += XXH3_64bits_withSeed(key.data(), key.size(), tracked.read.number);
   }
   return digest;
 }
@@ -212,7 +242,7 @@
   pruned_at_ = now;
   std::erase_if(tracked_, [&](const auto& entry) {
     const auto& [key, tracked] = entry;
-    return tracked.removed && !tracked.undelivered && !outdated_rows_.contains(key) &&
+    return tracked.removed && !tracked.undelivered && !held_.HoldsRow(key) &&
            now - tracked.removed_at > kRemovedRowMemory;
   });
 }
--- a/src/bamboodock/command/router/followed_rows.h
+++ b/src/bamboodock/command/router/followed_rows.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bamboodock/command/router/held_rows.h"
 #include "bamboodock/policy/registration_grace.h"
 #include "bamboodock/routing/directory_codec.h"
 #include "bamboodock/routing/row_sequences.h"
@@ -21,7 +22,7 @@
   Duration missing_grace{};
   /// Time for which an outdated row of the copy is held back; zero to deliver it at once.
   Duration outdated_hold{};
-  /// Whether rows that the copy still holds are delivered again, with their new era.
+  /// Whether rows that the copy still holds are delivered again, with their new revision.
   bool redelivers_survivors = false;
 };
 
@@ -59,10 +60,10 @@
         sequences_(sequences),
         grace_(retention.expiry_grace) {}
 
-  /// @copydoc RegistrationGrace::OnOutage
-  void OnOutage() { grace_.OnOutage(); }
-  /// @copydoc RegistrationGrace::OnAnswer
-  void OnAnswer(StoreRevision revision, MonotonicTime now) { grace_.OnAnswer(revision, now); }
+  /// Records that the store did not answer.
+  void OnOutage();
+  /// Records an answer of the store with its newest revision.
+  void OnAnswer(StoreRevision revision, MonotonicTime now);
   StoreRevision return_revision() const { return grace_.return_revision(); }
 
   /// Applies rows of the change feed.
@@ -82,13 +83,16 @@
   /// Digest of the keys and revisions of the rows that the store holds.
   std::uint64_t Digest() const;
   /// Number of rows and removals that are held back.
-  std::size_t held_back() const { return deferred_removals_.size() + outdated_rows_.size(); }
+  std::size_t held_back() const { return deferred_removals_.size() + held_.size(); }
 
  private:
   struct TrackedRow {
-    /// Newest revision of the row in the store.
-    StoreRevision revision;
-    /// Value that is in force.
+    /// Revision under which the store holds the row, as far as it was read.
+    StoreRevision read;
+    /// Revision of the state in force. Rows of other eras are judged against this state until the
+    /// store holds it, or a newer one, in its present era.
+    StoreRevision in_force;
+    /// Value in force.
     std::string value;
     /// Known writes of this row, newest last.
     std::vector<WriteMark> writes;
@@ -97,25 +101,19 @@
     /// Whether the next listing delivers the row whatever its revision.
     bool undelivered = false;
   };
-  struct PendingRemoval {
-    MonotonicTime until;
-    /// Era whose copy lacks the row, which may be written again as it was; empty for a removal that
-    /// the store has stated.
-    std::optional<StoreEra> missing_since;
-  };
-  struct OutdatedRow {
-    StoreRow row;
-    MonotonicTime until;
-  };
-
   void UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes);
   void UpdateReturnedRow(StoreRow row, TrackedRow& tracked, MonotonicTime now, RowChanges& changes);
   ReturnedRowVerdict Judge(const StoreRow& row, const TrackedRow& tracked) const;
   void Apply(StoreRow row, TrackedRow& tracked, RowChanges& changes);
   void Remove(const StoreRow& row, MonotonicTime now, RowChanges& changes);
   /// Holds the removal of a row back that an older copy lacks.
-  void KeepMissing(const std::string& key, StoreRevision listed, MonotonicTime now,
-                   RowChanges& changes);
+  void KeepMissing(const std::string& key, StoreEra era, MonotonicTime now, RowChanges& changes);
+  /// Whether the row may have come with the copy of its era, and was not written since.
+  bool MayBeOfCopy(StoreRevision revision) const;
+  /// Ends what is held back for a key.
+  void ReleaseHolds(const std::string& key);
+  std::vector<StoreRow> TakeDueRemovals(MonotonicTime now);
+  std::vector<StoreRow> TakeDueHeldRows(MonotonicTime now);
   /// Forgets rows that were removed so long ago that no copy can hold them.
   void Prune(MonotonicTime now);
 
@@ -124,10 +122,11 @@
   const RowSequences& sequences_;
   RegistrationGrace grace_;
   std::map<std::string, TrackedRow, std::less<>> tracked_;
-  /// Removals that are delivered unless the row is back.
-  std::map<std::string, PendingRemoval, std::less<>> deferred_removals_;
-  /// Rows of a copy that are delivered unless a newer state is written.
-  std::map<std::string, OutdatedRow, std::less<>> outdated_rows_;
+  /// Removals that the store has stated and that are delivered unless the row is back.
+  std::map<std::string, MonotonicTime, std::less<>> deferred_removals_;
+  HeldRows held_;
+  /// Revision of the first listing of the present era.
+  StoreRevision first_listing_;
   MonotonicTime pruned_at_{};
 };
 
--- a/src/bamboodock/policy/returned_row.cc
+++ b/src/bamboodock/policy/returned_row.cc
@@ -6,7 +6,7 @@
 
 ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after) {
   const auto known = std::find(before.writes.rbegin(), before.writes.rend(), after.write);
-  if (known != before.writes.rend()) {
+  if (after.may_be_of_copy && known != before.writes.rend()) {
     const bool is_newest = known == before.writes.rbegin();
     return is_newest && !before.removed ? ReturnedRowVerdict::kSurvived
                                         : ReturnedRowVerdict::kOutdated;
--- a/src/bamboodock/policy/returned_row.h
+++ b/src/bamboodock/policy/returned_row.h
@@ -42,6 +42,8 @@
 struct RowAfterReturn {
   WriteMark write;
   std::optional<WriterSequence> sequence;
+  /// Whether the copy may have held the row; otherwise it was written after the return.
+  bool may_be_of_copy = true;
 };
 
 enum class ReturnedRowVerdict : std::uint8_t {
@@ -56,9 +58,9 @@
 /// Judges a row that the store holds after it has returned from an older copy.
 ///
 /// The copy holds earlier states of rows, and writers write lost ones again under revisions that
-/// were given out before, so the revisions of both histories cannot be compared. A write that is
-/// known counts for what it was; others are ordered by their writer, and a row without such an
-/// order counts as newer. An equal order after a removal is the removed state.
+/// were given out before, so the revisions of both histories cannot be compared. A known write that
+/// the copy may have held counts for what it was; others are ordered by their writer, and a row
+/// without such an order counts as newer. An equal order after a removal is the removed state.
 ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after);
 
 }  // namespace bamboodock
--- a/test/command/router/store_return_test.cc
+++ b/test/command/router/store_return_test.cc
@@ -32,6 +32,13 @@
   CPPUNIT_TEST(DrainingUnderAKnownRevisionIsSeen);
   CPPUNIT_TEST(RemovedEndpointOfTheCopyGetsNoRequests);
   CPPUNIT_TEST(RemovalUnderAKnownRevisionTakesEffectAtOnce);
+  CPPUNIT_TEST(RemovedKeyOfTheCopyStaysRemoved);
+  CPPUNIT_TEST(DrainingEndpointStaysSoWhileStatesAreWrittenAgain);
+  CPPUNIT_TEST(EndpointThatTheCopyLacksGetsRequestsUntilItIsBack);
+  CPPUNIT_TEST(EvacuationThatTheCopyLacksStaysInForce);
+  CPPUNIT_TEST(ReturnWithoutAnOutageIsNoticed);
+  CPPUNIT_TEST(TwoReturnsCloseTogetherUndoNothing);
+  CPPUNIT_TEST(RowOfTheEntryIsWrittenAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +135,95 @@
         HoldsWithin(kDrainLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
   }
 
+  // Guards against a key that was taken away and works again until the configuration is written
+  // again.
+  void RemovedKeyOfTheCopyStaysRemoved() {
+    store_->Put("op", "config", ConfigRow(11, {"k2"}));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return IsInForce(11); }));
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(3000), [&] {
+      return entry_->Code("/a/", "k1") == ResultCode::kUnauthorized;
+    }));
+  }
+
+  // Guards against requests to an endpoint that leaves, between the writing again of an earlier
+  // state and of this one.
+  void DrainingEndpointStaysSoWhileStatesAreWrittenAgain() {
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 3, "draining"));
+    CPPUNIT_ASSERT(
+        HoldsWithin(kReadLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
+    ReturnFromCopy();
+    store_->SkipRevisions(kManyLost);
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return !Endpoints().contains("e1"); }));
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 3, "draining"));
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return !Endpoints().contains("e1"); }));
+  }
+
+  // Guards against endpoints without work, since they have not had the time to register again.
+  void EndpointThatTheCopyLacksGetsRequestsUntilItIsBack() {
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1200), [&] { return Endpoints() == kBoth; }));
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(3000), [&] { return Endpoints() == kBoth; }));
+  }
+
+  // Guards against requests to a zone that the operator has taken out of use.
+  void EvacuationThatTheCopyLacksStaysInForce() {
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1, "ready", "z2"));
+    store_->TakeCopy();
+    store_->Put("op", "evacuate/z1", nlohmann::json::object());
+    const std::set<std::string> other{"e2"};
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == other; }));
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(2000), [&] { return Endpoints() == other; }));
+    store_->Put("op", "evacuate/z1", nlohmann::json::object());
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return Endpoints() == other; }));
+    store_->Remove("op", "evacuate/z1");
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kOne; }));
+  }
+
+  // Guards against a configuration that is never read, since no call has failed.
+  void ReturnWithoutAnOutageIsNoticed() {
+    LoseConfigurations();
+    store_->RestoreCopy();
+    store_->Put("op", "config", ConfigRow(90, {"k2"}));
+    store_->SkipRevisions(2 * kManyLost);
+    CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
+  }
+
+  // Guards against a state that is undone by a second return, before it was written again.
+  void TwoReturnsCloseTogetherUndoNothing() {
+    store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
+    store_->TakeCopy();
+    store_->Put("servers", "e1", RegistrationRow(kStarted, 2, "draining"));
+    const std::set<std::string> other{"e2"};
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == other; }));
+    LoseConfigurations();
+    ReturnFromCopy();
+    std::this_thread::sleep_for(milliseconds(700));
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return Endpoints() == other; }));
+    store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
+    CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
+  }
+
+  // Guards against entries that start later and don't learn of this one.
+  void RowOfTheEntryIsWrittenAgain() {
+    constexpr milliseconds kRewriteLimit{8000};
+    const auto is_written = [&] { return store_->Value("bamboodock", "entry/h1").has_value(); };
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, is_written));
+    store_->Remove("bamboodock", "entry/h1");
+    store_->TakeCopy();
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsWithin(kRewriteLimit, is_written));
+  }
+
  private:
   std::set<std::string> Endpoints() { return entry_->Endpoints("k2"); }
   bool IsInForce(std::uint64_t version) const { return entry_->ConfigVersionInForce() == version; }
--- a/test/policy/returned_row_test.cc
+++ b/test/policy/returned_row_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(LaterStartIsNewer);
   CPPUNIT_TEST(RevisionGivenOutAgainIsAnotherWrite);
   CPPUNIT_TEST(UnknownWriteWithoutSequenceIsNewer);
+  CPPUNIT_TEST(KnownWriteMadeAgainAfterTheReturnIsNewer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,17 @@
     Expect(Verdict::kNewer, known, {kUnknown, std::nullopt});
   }
 
+  // Guards against an order that is given again as before and has no effect, since its revision is
+  // given out again too.
+  void KnownWriteMadeAgainAfterTheReturnIsNewer() {
+    RowAfterReturn written{kEarlier, std::nullopt};
+    written.may_be_of_copy = false;
+    Expect(Verdict::kNewer, {{kEarlier, kNewest}, std::nullopt, false}, written);
+    Expect(Verdict::kNewer, {{kEarlier}, std::nullopt, true}, written);
+    written.sequence = WriterSequence{1000, 6};
+    Expect(Verdict::kOutdated, Known(), written);
+  }
+
  private:
   static void Expect(Verdict verdict, const RowBeforeReturn& before, const RowAfterReturn& after) {
     CPPUNIT_ASSERT(JudgeReturnedRow(before, after) == verdict);
