Model the order of rows after the store's return

Cause: how rows of both histories are ordered had unit tests only. Change: model/store_return.pml with two writers, a store that loses what its copy lacks, and an entry that lists and follows.

--- a/src/bamboodock/command/router/followed_rows.cc
+++ b/src/bamboodock/command/router/followed_rows.cc
@@ -95,6 +95,7 @@
   outdated_rows_.insert_or_assign(key, OutdatedRow{std::move(row), now + retention_.outdated_hold});
 }
 
+// Modelled in model/store_return.pml, inline Update.
 void FollowedRows::UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes) {
   if (row.deleted) {
     Remove(row, now, changes);
@@ -135,6 +136,7 @@
   changes.deferred.push_back({key, listed, removal.until});
 }
 
+// Modelled in model/store_return.pml, inline UpdateAbsent.
 RowChanges FollowedRows::Replace(std::vector<StoreRow> rows, StoreRevision since,
                                  StoreRevision listed, MonotonicTime now) {
   const std::set<std::string, std::less<>> present = KeysOf(rows);
--- a/src/bamboodock/policy/returned_row.cc
+++ b/src/bamboodock/policy/returned_row.cc
@@ -4,6 +4,7 @@
 
 namespace bamboodock {
 
+// Modelled in model/store_return.pml, inline UpdateReturned.
 ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after) {
   const auto known = std::find(before.writes.rbegin(), before.writes.rend(), after.write);
   if (known != before.writes.rend()) {
--- a/src/bamboodock/policy/store_era_tracker.h
+++ b/src/bamboodock/policy/store_era_tracker.h
@@ -24,6 +24,7 @@
 /// answer to a later call states what the store now is, whatever its number.
 class StoreEraTracker {
  public:
+  // Modelled in model/store_return.pml, inline Receive.
   /// @param stated Era in the answer; empty when it states none, which changes nothing.
   EraVerdict Observe(std::optional<StoreEra> stated, MonotonicTime call_sent, MonotonicTime now) {
     if (!stated || stated == era_) return EraVerdict::kCurrent;
