--- a/src/bamboodock/command/router/followed_rows.cc
+++ b/src/bamboodock/command/router/followed_rows.cc
@@ -117,6 +117,7 @@
   held_.Hold(std::move(row), retention_.outdated_hold, now);
 }
 
+// Modelled in model/store_return.pml, inline Update.
 void FollowedRows::UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes) {
   if (row.deleted) {
     Remove(row, now, changes);
@@ -157,6 +158,7 @@
   changes.deferred.push_back({key, missing.revision, now + retention_.missing_grace});
 }
 
+// Modelled in model/store_return.pml, inline UpdateAbsent.
 RowChanges FollowedRows::Replace(std::vector<StoreRow> rows, StoreRevision since,
                                  StoreRevision listed, MonotonicTime now) {
   if (first_listing_.era != listed.era) first_listing_ = listed;
