Log when all tables have been read again after a return

Cause: after event 609 no line says when the entry has read the tables of the new era, and what the copy has lost or undone. Change: event 610 store_read_again, once a return: era, time since the return was noticed, rows kept that the copy lacks, rows of the copy judged outdated. StoreReturnProgress counts the listings. SharedEventLog of the tests has a file of its own, and FollowingEntry records its log.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -122,6 +122,7 @@
   counters_.store_era = era_.era().value();
   if (verdict != EraVerdict::kReturned) return verdict == EraVerdict::kCurrent;
   ++counters_.store_returns;
+  return_progress_.OnReturn(now);
   log_.Write(Event::kStoreReturned, RequestId(),
              fmt::format("era={} previous_era={} noticed_by={} op_revision={} servers_revision={}",
                          era_.era().value(), before.value(), source,
@@ -225,6 +226,19 @@
   }
 }
 
+void StoreDuty::RecordListing(const TableWatch& watch, const RowChanges& changes) {
+  const MonotonicTime now = clock_.Now();
+  // Tables without a grace time keep no row that a copy lacks.
+  const auto kept = std::count_if(changes.deferred.begin(), changes.deferred.end(),
+                                  [&](const DeferredRemoval& row) { return row.until > now; });
+  const auto reading = return_progress_.OnListed(watch.table, static_cast<std::size_t>(kept),
+                                                 CountOutdated(changes), now);
+  if (!reading) return;
+  log_.Write(Event::kStoreReadAgain, RequestId(),
+             fmt::format("era={} since_noticed_ms={} kept={} outdated={}", era_.era().value(),
+                         ToMillis(reading->elapsed), reading->kept, reading->outdated));
+}
+
 asio::awaitable<bool> StoreDuty::ListAll(TableWatch& watch, Emit emit) {
   std::vector<StoreRow> rows;
   std::optional<StoreRevision> revision;
@@ -245,6 +259,7 @@
   watch.listed = true;
   watch.listed_at = clock_.Now();
   watch.revision = *revision;
+  RecordListing(watch, changes);
   Deliver(watch, emit, changes.rows);
   co_return true;
 }
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -11,6 +11,7 @@
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_counters.h"
 #include "bamboodock/command/router/row_decoder.h"
+#include "bamboodock/command/router/store_return_progress.h"
 #include "bamboodock/command/router/store_writer.h"
 #include "bamboodock/command/router/table_watch.h"
 #include "bamboodock/core/clock.h"
@@ -69,6 +70,7 @@
   bool Post(StoreCommand command) { return inbox_.TryPush(std::move(command)); }
 
  private:
+  static constexpr std::size_t kTables = 3;
   using Emit = bool (StoreDuty::*)(const std::vector<StoreRow>& rows);
 
   asio::awaitable<void> Follow(TableWatch& watch, Emit emit);
@@ -101,9 +103,11 @@
   MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
   /// Logs and counts the rows of an answer that are not delivered.
   void RecordHeldBack(const TableWatch& watch, const RowChanges& changes);
+  /// Logs what the listings after a return have shown, with the last table of it.
+  void RecordListing(const TableWatch& watch, const RowChanges& changes);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
-  std::array<TableWatch*, 3> Watches() {
+  std::array<TableWatch*, kTables> Watches() {
     return {&operator_watch_, &endpoint_watch_, &router_watch_};
   }
   std::chrono::milliseconds FeedWait(const TableWatch& watch) const;
@@ -128,6 +132,7 @@
   asio::io_context loop_{1};
   RingInbox<StoreCommand> inbox_;
   StoreEraTracker era_;
+  StoreReturnProgress return_progress_{kTables};
   /// Era of another entry for which the store was asked last.
   StoreEra checked_era_;
   StoreClock store_clock_;
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -59,6 +59,7 @@
     EventName{Event::kStoreHistoryLost, "store_history_lost"},
     EventName{Event::kStoreRowsIgnored, "store_rows_ignored"},
     EventName{Event::kStoreReturned, "store_returned"},
+    EventName{Event::kStoreReadAgain, "store_read_again"},
     EventName{Event::kSettingsReloaded, "settings_reloaded"},
     EventName{Event::kRouteTableInstalled, "route_table_installed"},
     EventName{Event::kConfigRejected, "config_rejected"},
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -61,6 +61,7 @@
   kStoreHistoryLost = 607,
   kStoreRowsIgnored = 608,
   kStoreReturned = 609,
+  kStoreReadAgain = 610,
   // 7xx: router.
   kSettingsReloaded = 700,
   kRouteTableInstalled = 701,
--- a/test/command/router/store_return_metrics_test.cc
+++ b/test/command/router/store_return_metrics_test.cc
@@ -22,6 +22,7 @@
 class StoreReturnMetricsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreReturnMetricsTest);
   CPPUNIT_TEST(PageShowsEraAndRowsOfTheReturn);
+  CPPUNIT_TEST(EachReturnIsReadAgainOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,7 +61,31 @@
     CPPUNIT_ASSERT(ShowsWithin(kReadLimit, "bamboodock_store_rows_held 1"));
   }
 
+  // Guards against a log that doesn't show when the tables of the new era have been read, or shows
+  // each listing of a table as one of the return.
+  void EachReturnIsReadAgainOnce() {
+    CPPUNIT_ASSERT(Readings().empty());
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Readings().size() == 1; }));
+    // The copy lacks the row of e2, and holds the row of e1.
+    AssertReading(Readings().front(), "era=2 ", " kept=1 outdated=1");
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return entry_->Endpoints("k1").empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Readings().size());
+    ReturnFromCopy();
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Readings().size() == 2; }));
+    AssertReading(Readings().back(), "era=3 ", " kept=0 outdated=1");
+  }
+
  private:
+  std::vector<std::string> Readings() const {
+    return entry_->log().Details(Event::kStoreReadAgain);
+  }
+  static void AssertReading(const std::string& detail, const std::string& begin,
+                            const std::string& end) {
+    CPPUNIT_ASSERT_MESSAGE(detail, detail.starts_with(begin + "since_noticed_ms="));
+    CPPUNIT_ASSERT_MESSAGE(detail, detail.ends_with(end));
+  }
+
   void ReturnFromCopy() {
     constexpr milliseconds kAway{500};
     store_->GoAway();
--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -14,7 +14,7 @@
 #include "bamboodock/command/router/route_state.h"
 #include "bamboodock/command/router/store_duty.h"
 #include "bamboodock/core/boot_clock.h"
-#include "fakes/null_event_log.h"
+#include "fakes/shared_event_log.h"
 #include "fakes/table_store.h"
 #include "platform/platform_directory_codec.h"
 #include "platform/table_store_protocol.h"
@@ -73,6 +73,7 @@
     return state_.ConfigAge();
   }
   const RouterCounters& counters() const { return counters_; }
+  const SharedEventLog& log() const { return log_; }
   /// Delivers a report of this entry to another one.
   void Tell(FollowingEntry& other) {
     PeerReport report;
@@ -96,7 +97,7 @@
   }
 
   BootClock clock_;
-  NullEventLog log_;
+  SharedEventLog log_;
   RouterCounters counters_;
   platform::PlatformDirectoryCodec directory_;
   platform::TableStoreProtocol protocol_;
--- a/test/fakes/loopback_router.h
+++ b/test/fakes/loopback_router.h
@@ -11,34 +11,11 @@
 #include "bamboodock/command/router/network_duty.h"
 #include "bamboodock/command/router/planning_duty.h"
 #include "bamboodock/core/boot_clock.h"
-#include "fakes/fake_event_log.h"
+#include "fakes/shared_event_log.h"
 #include "platform/http_wire_protocol.h"
 
 namespace bamboodock {
 
-/// Thread-safe log that records the events in memory.
-class SharedEventLog final : public EventLog {
- public:
-  void Write(Event event, const RequestId& request, const std::string& detail) override {
-    const std::lock_guard lock(mutex_);
-    lines_.Write(event, request, detail);
-  }
-  /// All lines as text, for the message of a failed assertion.
-  std::string Text() const {
-    const std::lock_guard lock(mutex_);
-    std::string text;
-    for (const FakeEventLog::Line& line : lines_.lines) {
-      text += std::string(Name(line.event)) + " request=" + line.request.value() + " " +
-              line.detail + "\n";
-    }
-    return text;
-  }
-
- private:
-  mutable std::mutex mutex_;
-  FakeEventLog lines_;
-};
-
 /// Network and planning duties of a router on loopback. Callers and endpoints use real sockets; the
 /// test plays the store, which is silent unless the test registers something.
 class LoopbackRouter {
