--- a/src/bamboodock/replay/replayer.cc
+++ b/src/bamboodock/replay/replayer.cc
@@ -14,11 +14,17 @@
 
 const std::map<std::string, Factory>& Factories() {
   static const std::map<std::string, Factory> kFactories = {
-      {"attempt", &MakeAttemptReplay},       {"billing", &MakeBillingReplay},
-      {"claim", &MakeClaimReplay},           {"freshness", &MakeFreshnessReplay},
-      {"lease", &MakeLeaseReplay},           {"publication", &MakePublicationReplay},
-      {"quarantine", &MakeQuarantineReplay}, {"rate_limit", &MakeRateLimitReplay},
-      {"stream", &MakeStreamReplay},         {"witness", &MakeWitnessReplay},
+      {"attempt", &MakeAttemptReplay},
+      {"billing", &MakeBillingReplay},
+      {"claim", &MakeClaimReplay},
+      {"freshness", &MakeFreshnessReplay},
+      {"lease", &MakeLeaseReplay},
+      {"publication", &MakePublicationReplay},
+      {"quarantine", &MakeQuarantineReplay},
+      {"rate_limit", &MakeRateLimitReplay},
+      {"returned_row", &MakeReturnedRowReplay},
+      {"stream", &MakeStreamReplay},
+      {"witness", &MakeWitnessReplay},
   };
   return kFactories;
 }
--- a/src/bamboodock/replay/rule_replay.h
+++ b/src/bamboodock/replay/rule_replay.h
@@ -93,6 +93,8 @@
                                                  const std::string& process);
 std::unique_ptr<RuleReplay> MakeRateLimitReplay(const TraceFields& settings,
                                                 const std::string& process);
+std::unique_ptr<RuleReplay> MakeReturnedRowReplay(const TraceFields& settings,
+                                                  const std::string& process);
 std::unique_ptr<RuleReplay> MakeStreamReplay(const TraceFields& settings,
                                              const std::string& process);
 std::unique_ptr<RuleReplay> MakeWitnessReplay(const TraceFields& settings,
--- a/test/replay/replayer_test.cc
+++ b/test/replay/replayer_test.cc
@@ -34,6 +34,12 @@
   return first + "\n" + second + "\n" + third + "\n";
 }
 
+std::string ReturnedRowLine(const std::string& process, const std::string& event,
+                            const std::string& key) {
+  return R"({"time":0,"process":")" + process + R"(","event":")" + event + R"(","key":")" + key +
+         R"(","revision":7,"value":"v"})";
+}
+
 }  // namespace
 
 class ReplayerTest : public CppUnit::TestFixture {
@@ -42,6 +48,7 @@
   CPPUNIT_TEST(UnknownEventFails);
   CPPUNIT_TEST(MalformedNumberFails);
   CPPUNIT_TEST(MalformedLineFails);
+  CPPUNIT_TEST(ReturnedRowIsJudgedByTheWritesOfItsKeyAndProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +80,23 @@
                          ReplaySummary(JoinLines(kHeader, R"({"time":0,"pro)")));
     CPPUNIT_ASSERT_EQUAL(std::string("line 1: the header is missing"), ReplaySummary(""));
   }
+
+  // Guards against a replay of the store's return that judges a row by the writes of another row,
+  // or of another entry.
+  void ReturnedRowIsJudgedByTheWritesOfItsKeyAndProcess() {
+    const std::string known =
+        JoinLines(R"({"rule":"returned_row"})", ReturnedRowLine("e1", "write", "k1"));
+    const auto judge = [&](const std::string& process, const std::string& key,
+                           const std::string& verdict) {
+      return ReplaySummary(known + JoinLines(ReturnedRowLine(process, "judge", key),
+                                             R"({"expect":")" + verdict + R"("})"));
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("1 expectations"), judge("e1", "k1", "survived"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1 expectations"), judge("e1", "k2", "newer"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1 expectations"), judge("e2", "k1", "newer"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1 expectations; line 5: outdated != survived"),
+                         judge("e1", "k1", "outdated"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplayerTest);
