--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -30,17 +30,26 @@
 constexpr std::string_view kWrites = "writes";
 constexpr std::size_t kInboxCapacity = 256;
 
+/// Rows of a copy that the known ones supersede. Other ignored rows are of the era of the known
+/// ones.
+std::size_t CountOutdated(const RowChanges& changes) {
+  return static_cast<std::size_t>(std::count_if(
+      changes.ignored.begin(), changes.ignored.end(),
+      [](const IgnoredRow& row) { return row.revision.era != row.known_revision.era; }));
+}
+
 }  // namespace
 
 StoreDuty::StoreDuty(const Address& store, const PeerRecord& self, const DirectoryCodec& codec,
                      const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
-                     EventLog& log)
+                     EventLog& log, RouterCounters& counters)
     : self_(self.host),
       decoder_(codec, log),
       protocol_(protocol),
       clock_(clock),
       listener_(listener),
       log_(log),
+      counters_(counters),
       inbox_(loop_, kInboxCapacity, [this](StoreCommand& command) { HandleCommand(command); }),
       operator_watch_(codec.OperatorTable(), kOperatorTiming, codec, loop_.get_executor(), store),
       endpoint_watch_(codec.EndpointTable(), kEndpointTiming, codec, loop_.get_executor(), store),
@@ -117,11 +126,14 @@
                                std::string_view source) {
   const StoreEra previous = era_.era();
   const EraVerdict verdict = era_.Observe(protocol_.EraOf(response), sent, clock_.Now());
+  counters_.store_era = era_.era().value();
   if (verdict == EraVerdict::kReturned) OnStoreReturned(previous, source);
   return verdict == EraVerdict::kCurrent;
 }
 
 void StoreDuty::OnStoreReturned(StoreEra previous, std::string_view noticed_by) {
+  ++counters_.store_returns;
+  return_progress_.OnReturn(clock_.Now());
   log_.Write(Event::kStoreReturned, RequestId(),
              fmt::format("era={} previous_era={} noticed_by={} op_revision={} servers_revision={}",
                          era_.era().value(), previous.value(), noticed_by,
@@ -205,7 +217,8 @@
   co_return answer;
 }
 
-void StoreDuty::LogHeldBack(const TableWatch& watch, const RowChanges& changes) {
+void StoreDuty::RecordHeldBack(const TableWatch& watch, const RowChanges& changes) {
+  counters_.store_rows_outdated += CountOutdated(changes);
   if (!changes.ignored.empty()) {
     const IgnoredRow& first = changes.ignored.front();
     log_.Write(Event::kStoreRowsIgnored, RequestId(),
@@ -224,6 +237,19 @@
   }
 }
 
+void StoreDuty::RecordListing(const TableWatch& watch, const RowChanges& changes) {
+  const MonotonicTime now = clock_.Now();
+  // Tables without a grace time keep no row that a copy lacks.
+  const auto kept = std::count_if(changes.deferred.begin(), changes.deferred.end(),
+                                  [&](const DeferredRemoval& row) { return row.until > now; });
+  const auto reading = return_progress_.OnListed(watch.table, static_cast<std::size_t>(kept),
+                                                 CountOutdated(changes), now);
+  if (!reading) return;
+  log_.Write(Event::kStoreReadAgain, RequestId(),
+             fmt::format("era={} since_noticed_ms={} kept={} outdated={}", era_.era().value(),
+                         ToMillis(reading->elapsed), reading->kept, reading->outdated));
+}
+
 asio::awaitable<bool> StoreDuty::ListAll(TableWatch& watch, Emit emit) {
   std::vector<StoreRow> rows;
   std::optional<StoreRevision> revision;
@@ -242,10 +268,11 @@
   }
   const RowChanges changes =
       watch.rows.Replace(std::move(rows), watch.revision, *revision, clock_.Now());
-  LogHeldBack(watch, changes);
+  RecordHeldBack(watch, changes);
   watch.listed = true;
   watch.listed_at = clock_.Now();
   watch.revision = *revision;
+  RecordListing(watch, changes);
   Deliver(watch, emit, changes.rows);
   co_return true;
 }
@@ -280,7 +307,7 @@
   }
   watch.revision = std::max(watch.revision, answer->revision);
   RowChanges changes = watch.rows.Update(std::move(answer->rows), clock_.Now());
-  LogHeldBack(watch, changes);
+  RecordHeldBack(watch, changes);
   const std::vector<StoreRow> due = watch.rows.TakeDue(clock_.Now());
   changes.rows.insert(changes.rows.end(), due.begin(), due.end());
   Deliver(watch, emit, changes.rows);
@@ -291,7 +318,9 @@
 }
 
 asio::awaitable<void> StoreDuty::PauseBeforeRetry(TableWatch& watch) {
-  if (const auto delay = watch.TakeRetryDelay(clock_.Now())) co_await Pause(watch, *delay);
+  if (const auto delay = watch.TakeRetryDelay(clock_.Now())) {
+    co_await Pause(watch, *delay);
+  }
 }
 
 asio::awaitable<void> StoreDuty::Follow(TableWatch& watch, Emit emit) {
@@ -309,6 +338,8 @@
 }
 
 void StoreDuty::Deliver(TableWatch& watch, Emit emit, const std::vector<StoreRow>& rows) {
+  counters_.store_rows_held = operator_watch_.rows.held_back() + endpoint_watch_.rows.held_back() +
+                              router_watch_.rows.held_back();
   if ((this->*emit)(rows)) return;
   watch.rows.Forget(rows);
   watch.listed = false;
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "bamboodock/command/router/route_commands.h"
+#include "bamboodock/command/router/router_counters.h"
 #include "bamboodock/command/router/row_decoder.h"
+#include "bamboodock/command/router/store_return_progress.h"
 #include "bamboodock/command/router/store_writer.h"
 #include "bamboodock/command/router/table_watch.h"
 #include "bamboodock/core/clock.h"
@@ -59,7 +61,7 @@
  public:
   StoreDuty(const Address& store, const PeerRecord& self, const DirectoryCodec& codec,
             const StoreProtocol& protocol, const Clock& clock, StoreListener& listener,
-            EventLog& log);
+            EventLog& log, RouterCounters& counters);
   ~StoreDuty() { Stop(); }
 
   void Start();
@@ -68,6 +70,7 @@
   bool Post(StoreCommand command) { return inbox_.TryPush(std::move(command)); }
 
  private:
+  static constexpr std::size_t kTables = 3;
   using Emit = bool (StoreDuty::*)(const std::vector<StoreRow>& rows);
 
   asio::awaitable<void> Follow(TableWatch& watch, Emit emit);
@@ -99,11 +102,13 @@
   void RestartOtherCalls(const TableWatch& recovered);
   /// When the store last answered a call for another table.
   MonotonicTime AnsweredElsewhereAt(const TableWatch& watch) const;
-  /// Logs the rows of an answer that are not delivered.
-  void LogHeldBack(const TableWatch& watch, const RowChanges& changes);
+  /// Logs and counts the rows of an answer that are not delivered.
+  void RecordHeldBack(const TableWatch& watch, const RowChanges& changes);
+  /// Logs what the listings after a return have shown, with the last table of it.
+  void RecordListing(const TableWatch& watch, const RowChanges& changes);
   /// Digest of the known rows of the operator's table and the store time of the last answer.
   OperatorTableState Coverage() const;
-  std::array<TableWatch*, 3> Watches() {
+  std::array<TableWatch*, kTables> Watches() {
     return {&operator_watch_, &endpoint_watch_, &router_watch_};
   }
   std::chrono::milliseconds FeedWait(const TableWatch& watch) const;
@@ -123,10 +128,12 @@
   const Clock& clock_;
   StoreListener& listener_;
   EventLog& log_;
+  RouterCounters& counters_;
 
   asio::io_context loop_{1};
   RingInbox<StoreCommand> inbox_;
   StoreEraTracker era_;
+  StoreReturnProgress return_progress_{kTables};
   /// Era of another entry for which the store was asked last.
   StoreEra checked_era_;
   StoreClock store_clock_;
