--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -72,6 +72,17 @@
     const std::lock_guard lock(mutex_);
     return state_.ConfigAge();
   }
+  /// Does the periodic work of the entry and writes what it has decided to the store.
+  void Tick() {
+    std::vector<RolloutProgress> writes;
+    {
+      const std::lock_guard lock(mutex_);
+      writes = state_.Tick();
+    }
+    for (const RolloutProgress& write : writes) {
+      duty_.Post({write, std::nullopt, std::nullopt});
+    }
+  }
   /// Delivers a report of this entry to another one.
   void Tell(FollowingEntry& other) {
     PeerReport report;
