Keep rollouts over the store's return and write them again

What callers saw: after a return a completed rollout ran once more or went back to its earlier state, and a version that had been rolled back got requests again. Cause: an order under another revision counted as a new one, evidence under its earlier revision was dropped, and the progress row of the copy replaced a later state. A lost row was written by nobody. Change: RolloutController asks KnownRolloutOrder; the further progress is kept. RolloutRows holds the rows of the store and prepares writes: they expect a revision of the era of the order, and none is sent over the row of a newer order. The entry of rank 0 for the service writes a lost state again at once, the next one after 2 s, the others 250 ms apart. A cancelled order that was not decided is remembered, since the copy may show it again. RouterDelta names removed progress rows. StoreDuty drops writes of another era. Evidence: the tests of RolloutReturnTest and RolloutRewriteTest that failed on pass, as do the three new ones of RolloutReturnTest and WriteOfAnotherEraIsNotSent. RolloutControllerTest, RouteStateTest, StoreDutyTest and StoreReturnTest pass unchanged.

--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -23,40 +23,67 @@
 
 }  // namespace
 
+RolloutController::Rollout* RolloutController::FindSame(const RolloutOrder& order) {
+  auto found = rollouts_.find(order.service);
+  if (found == rollouts_.end()) {
+    auto cancelled = cancelled_.extract(order.service);
+    if (cancelled.empty()) return nullptr;
+    if (cancelled.mapped().known.Judge(order) != RolloutOrderVerdict::kSame) return nullptr;
+    found = rollouts_.insert(std::move(cancelled)).position;
+  }
+  const bool is_same = found->second.known.Judge(order) == RolloutOrderVerdict::kSame;
+  return is_same ? &found->second : nullptr;
+}
+
+void RolloutController::Begin(const RolloutOrder& order) {
+  Rollout rollout{KnownRolloutOrder(order)};
+  const auto row = rows_.Find(order.service);
+  if (row && row->order_revision == order.revision) Adopt(rollout, *row);
+  rollouts_.insert_or_assign(order.service, std::move(rollout));
+}
+
 void RolloutController::ApplyOrder(const RolloutOrder& order) {
   const auto found = rollouts_.find(order.service);
-  if (found != rollouts_.end() && found->second.order.revision >= order.revision) return;
-  Rollout rollout;
-  rollout.order = order;
-  const auto known = progress_.find(order.service);
-  if (known != progress_.end() && known->second.order_revision == order.revision) {
-    rollout.progress = known->second;
+  if (found != rollouts_.end() && found->second.known.Judge(order) == RolloutOrderVerdict::kKnown) {
+    return;
   }
-  rollouts_.insert_or_assign(order.service, std::move(rollout));
+  Rollout* const same = FindSame(order);
+  if (same == nullptr) {
+    Begin(order);
+    return;
+  }
+  same->known.OnReadAgain(order.revision);
+  if (const auto row = rows_.Find(order.service)) Adopt(*same, *row);
 }
 
 void RolloutController::Cancel(const ServiceId& service) {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) return;
+  found->second.known.Cancel();
   // A finished rollout still defines the active version.
   const auto& progress = found->second.progress;
   if (progress && progress->state != RolloutState::kRunning) return;
+  cancelled_.insert_or_assign(service, std::move(found->second));
   rollouts_.erase(found);
 }
 
+void RolloutController::Adopt(Rollout& rollout, const RolloutProgress& progress) {
+  if (!rollout.known.IsOrderOf(progress)) return;
+  if (rollout.progress && IsFurther(*rollout.progress, progress)) return;
+  rollout.progress = progress;
+}
+
 void RolloutController::Apply(const RolloutProgress& progress) {
-  progress_.insert_or_assign(progress.service, progress);
+  rows_.Set(progress);
   const auto found = rollouts_.find(progress.service);
-  if (found == rollouts_.end()) return;
-  Rollout& rollout = found->second;
-  if (rollout.order.revision == progress.order_revision) rollout.progress = progress;
+  if (found != rollouts_.end()) Adopt(found->second, progress);
 }
 
 void RolloutController::Apply(const IncarnationId& entry, const RolloutEvidence& evidence) {
   const auto found = rollouts_.find(evidence.service);
   if (found == rollouts_.end()) return;
   Rollout& rollout = found->second;
-  if (rollout.order.revision != evidence.order_revision) return;
+  if (!rollout.known.IsNamedBy(evidence.order_revision)) return;
   RolloutEvidence& stored = rollout.peer_evidence[entry];
   const EvidenceCounters newest = EvidenceCounters::Newer(stored.answers, evidence.answers);
   const EvidenceCounters newest_old =
@@ -89,7 +116,7 @@
 
 const RolloutOrder* RolloutController::Find(const ServiceId& service) const {
   const auto found = rollouts_.find(service);
-  return found == rollouts_.end() ? nullptr : &found->second.order;
+  return found == rollouts_.end() ? nullptr : &found->second.order();
 }
 
 bool RolloutController::IsTargetExcluded(const ServiceId& service) const {
@@ -137,7 +164,7 @@
   const auto found = rollouts_.find(report.service);
   if (found == rollouts_.end()) return nullptr;
   Rollout& rollout = found->second;
-  return rollout.order.target == report.version ? &rollout.own_target : &rollout.own_old;
+  return rollout.order().target == report.version ? &rollout.own_target : &rollout.own_old;
 }
 
 void RolloutController::OnUnderWay(const AttemptReport& report,
@@ -181,7 +208,7 @@
   std::vector<RolloutEvidence> evidence;
   for (const auto& [service, rollout] : rollouts_) {
     evidence.push_back(
-        {service, rollout.order.revision, rollout.own_target, rollout.own_old, 0, {}});
+        {service, rollout.order().revision, rollout.own_target, rollout.own_old, 0, {}});
   }
   return evidence;
 }
@@ -192,8 +219,8 @@
   RolloutSnapshot snapshot;
   snapshot.state = rollout.progress->state;
   const std::chrono::duration<double> passed = store_now - rollout.progress->started;
-  snapshot.time_limit = rollout.order.time_limit;
-  snapshot.progress = passed / std::chrono::duration<double>(rollout.order.time_limit);
+  snapshot.time_limit = rollout.order().time_limit;
+  snapshot.progress = passed / std::chrono::duration<double>(rollout.order().time_limit);
   snapshot.bad = rollout.bad;
   snapshot.answers = rollout.own_target.answers;
   snapshot.requests = rollout.own_target.answers + rollout.own_old.answers;
@@ -219,9 +246,9 @@
 RolloutProgress RolloutController::InitialProgress(const Rollout& rollout,
                                                    std::chrono::milliseconds now) {
   RolloutProgress progress;
-  progress.service = rollout.order.service;
-  progress.target = rollout.order.target;
-  progress.order_revision = rollout.order.revision;
+  progress.service = rollout.order().service;
+  progress.target = rollout.order().target;
+  progress.order_revision = rollout.order().revision;
   progress.started = now;
   return progress;
 }
@@ -240,8 +267,8 @@
   rollout.bad = true;
   log_.Write(
       Event::kRolloutJudgedBad, RequestId(),
-      fmt::format("service={} target={} new=({}) old=({})", rollout.order.service.value(),
-                  rollout.order.target.value(), Describe(totals.target), Describe(totals.old)));
+      fmt::format("service={} target={} new=({}) old=({})", rollout.order().service.value(),
+                  rollout.order().target.value(), Describe(totals.target), Describe(totals.old)));
 }
 
 RolloutState RolloutController::Advance(Rollout& rollout, std::chrono::milliseconds store_now,
@@ -257,36 +284,41 @@
     log_.Write(Event::kRolloutShareChanged, RequestId(),
                fmt::format("service={} target={} share={:.2f} progress={:.2f} open_at_old={} "
                            "new=({}) old=({})",
-                           rollout.order.service.value(), rollout.order.target.value(),
+                           rollout.order().service.value(), rollout.order().target.value(),
                            rollout.share, snapshot.progress, snapshot.open_at_old,
                            Describe(totals.target), Describe(totals.old)));
   }
   return NextState(schedule, snapshot);
 }
 
+std::optional<RolloutProgress> RolloutController::Step(Rollout& rollout,
+                                                       std::chrono::milliseconds store_now,
+                                                       const RolloutInputs& inputs) {
+  if (!rollout.progress) {
+    return rows_.PrepareWrite(rollout.known, InitialProgress(rollout, store_now));
+  }
+  if (rollout.progress->state == RolloutState::kCompleted) {
+    rollout.share = 1;
+    rollout.in_trial = false;
+  } else {
+    const RolloutState next = Advance(rollout, store_now, inputs.open_at_old);
+    if (next != rollout.progress->state) {
+      RolloutProgress changed = *rollout.progress;
+      changed.state = next;
+      return rows_.PrepareWrite(rollout.known, std::move(changed));
+    }
+  }
+  return rows_.PrepareRewrite(rollout.known, *rollout.progress, inputs.rank, store_now);
+}
+
 std::vector<RolloutProgress> RolloutController::Tick(
-    std::chrono::milliseconds store_now, const std::map<ServiceId, std::uint64_t>& open_at_old) {
+    std::chrono::milliseconds store_now, const std::map<ServiceId, RolloutInputs>& inputs) {
   std::vector<RolloutProgress> writes;
   for (auto& [service, rollout] : rollouts_) {
-    if (!rollout.progress) {
-      RolloutProgress first = InitialProgress(rollout, store_now);
-      const auto known = progress_.find(service);
-      if (known != progress_.end()) first.revision = known->second.revision;
-      writes.push_back(first);
-      continue;
-    }
-    if (rollout.progress->state == RolloutState::kCompleted) {
-      rollout.share = 1;
-      rollout.in_trial = false;
-      continue;
-    }
-    const auto open = open_at_old.find(service);
-    const RolloutState next =
-        Advance(rollout, store_now, open == open_at_old.end() ? 0 : open->second);
-    if (next == rollout.progress->state) continue;
-    RolloutProgress changed = *rollout.progress;
-    changed.state = next;
-    writes.push_back(changed);
+    const auto input = inputs.find(service);
+    const auto write =
+        Step(rollout, store_now, input == inputs.end() ? RolloutInputs{} : input->second);
+    if (write) writes.push_back(*write);
   }
   return writes;
 }
--- a/src/bamboodock/command/router/rollout_controller.h
+++ b/src/bamboodock/command/router/rollout_controller.h
@@ -6,8 +6,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bamboodock/command/router/rollout_rows.h"
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/latency_baseline.h"
+#include "bamboodock/policy/rollout_return.h"
 #include "bamboodock/policy/rollout_schedule.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/operator_orders.h"
@@ -15,11 +17,20 @@
 
 namespace bamboodock {
 
+/// What the planning duty knows of a rollout besides its evidence.
+struct RolloutInputs {
+  /// Open attempts of this entry at old versions.
+  std::uint64_t open_at_old = 0;
+  /// Rank of this entry among those that write the progress again when the store has lost it.
+  std::uint32_t rank = 0;
+};
+
 /// State of all rollouts: traffic share of the new version, evidence from all entries, next state.
 ///
 /// Used on the planning duty's thread only. The state of a rollout is a row in the store that any
 /// entry may update by a conditional write on its revision, so at most one of several concurrent
-/// decisions takes effect.
+/// decisions takes effect. After the store has returned from an older copy, the same order keeps
+/// its evidence, share and state, and what the copy lacks is written again.
 class RolloutController {
  public:
   RolloutController(const ExposureLimits& limits, EventLog& log) : limits_(limits), log_(log) {}
@@ -27,6 +38,8 @@
   void ApplyOrder(const RolloutOrder& order);
   void Cancel(const ServiceId& service);
   void Apply(const RolloutProgress& progress);
+  /// Takes note that the store holds no progress of the service.
+  void RemoveProgress(const ServiceId& service) { rows_.Remove(service); }
   /// Applies cumulative evidence from another entry.
   void Apply(const IncarnationId& entry, const RolloutEvidence& evidence);
   /// Clears the open requests of an entry that has ended; its evidence is kept.
@@ -65,25 +78,27 @@
   /// Advances all rollouts and returns the progress rows to write to the store.
   ///
   /// @param store_now Estimate of the store's clock.
-  /// @param open_at_old Open attempts of this entry at old versions, by service.
+  /// @param inputs By service; empty ones for services without.
   std::vector<RolloutProgress> Tick(std::chrono::milliseconds store_now,
-                                    const std::map<ServiceId, std::uint64_t>& open_at_old);
+                                    const std::map<ServiceId, RolloutInputs>& inputs);
 
  private:
   struct Rollout {
-    RolloutOrder order;
-    std::optional<RolloutProgress> progress;
+    KnownRolloutOrder known;
+    std::optional<RolloutProgress> progress = std::nullopt;
     bool bad = false;
-    EvidenceCounters own_target;
-    EvidenceCounters own_old;
-    std::unordered_map<IncarnationId, RolloutEvidence> peer_evidence;
+    EvidenceCounters own_target = {};
+    EvidenceCounters own_old = {};
+    std::unordered_map<IncarnationId, RolloutEvidence> peer_evidence = {};
     /// Requests that this entry has sent since the order, and those of them to the target.
     std::uint64_t requests = 0;
     std::uint64_t target_requests = 0;
     /// Share of the traffic that goes to the target, and whether the target is on trial.
     double share = 0;
     bool in_trial = true;
-    std::unordered_map<SessionHash, MonotonicTime> held_back;
+    std::unordered_map<SessionHash, MonotonicTime> held_back = {};
+
+    const RolloutOrder& order() const { return known.order(); }
   };
 
   /// Evidence of all entries about both versions.
@@ -92,6 +107,11 @@
     EvidenceCounters old;
   };
 
+  /// Rollout of the same order, as known from before a return; null when the order is a new one.
+  Rollout* FindSame(const RolloutOrder& order);
+  void Begin(const RolloutOrder& order);
+  /// Takes over the progress unless it is that of another order or an earlier state.
+  static void Adopt(Rollout& rollout, const RolloutProgress& progress);
   /// Counters of the report's version; null when its service has no rollout.
   EvidenceCounters* CountersOf(const AttemptReport& report);
   static EvidenceTotals SumEvidence(const Rollout& rollout);
@@ -104,11 +124,17 @@
   RolloutSnapshot MakeSnapshot(const Rollout& rollout, std::chrono::milliseconds store_now,
                                std::uint64_t own_open) const;
   static RolloutProgress InitialProgress(const Rollout& rollout, std::chrono::milliseconds now);
+  /// Advances a rollout; returns the progress row to write, if any.
+  std::optional<RolloutProgress> Step(Rollout& rollout, std::chrono::milliseconds store_now,
+                                      const RolloutInputs& inputs);
 
   ExposureLimits limits_;
   EventLog& log_;
   std::map<ServiceId, Rollout> rollouts_;
-  std::map<ServiceId, RolloutProgress> progress_;
+  /// Rollouts whose orders were cancelled before they were decided. The store may return from a
+  /// copy that still holds the order.
+  std::map<ServiceId, Rollout> cancelled_;
+  RolloutRows rows_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -62,6 +62,8 @@
 struct RouterDelta {
   std::vector<PeerRecord> peers;
   std::vector<RolloutProgress> rollouts;
+  /// Services of which the store no longer holds the progress.
+  std::vector<ServiceId> removed_rollouts = {};
 };
 
 /// How far the answer to a prompt has come.
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -587,6 +587,7 @@
                fmt::format("host={} address={}", peer.host.value(), peer.gossip.ToString()));
   }
   pool_.SetOtherEntries(peers_.OtherHosts());
+  for (const ServiceId& service : delta.removed_rollouts) rollouts_.RemoveProgress(service);
   for (const RolloutProgress& progress : delta.rollouts) rollouts_.Apply(progress);
 }
 
@@ -665,13 +666,14 @@
     if (routers_listed_) pool_.SetOtherEntries(peers_.OtherHosts());
   }
   if (table_ == nullptr) return {};
-  std::map<ServiceId, std::uint64_t> open;
+  std::map<ServiceId, RolloutInputs> inputs;
   for (const RolloutEvidence& evidence : rollouts_.Evidence()) {
-    const RolloutOrder* order = rollouts_.Find(evidence.service);
-    open[evidence.service] = pool_.OpenAtOtherVersions(evidence.service, order->target);
+    const ServiceId& service = evidence.service;
+    inputs[service] = {pool_.OpenAtOtherVersions(service, rollouts_.Find(service)->target),
+                       pool_.ranking().Rank(service.value())};
   }
   const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - store_read_);
-  return rollouts_.Tick(store_now_ + elapsed, open);
+  return rollouts_.Tick(store_now_ + elapsed, inputs);
 }
 
 PeerReport RouteState::MakeReport() {
--- a/src/bamboodock/command/router/row_decoder.cc
+++ b/src/bamboodock/command/router/row_decoder.cc
@@ -45,6 +45,8 @@
   RouterDelta delta;
   for (const StoreRow& row : rows) {
     if (auto peer = codec_.DecodePeer(row)) delta.peers.push_back(*peer);
+    const ServiceId removed = codec_.RemovedProgress(row);
+    if (!removed.empty()) delta.removed_rollouts.push_back(removed);
     HandleFailure(
         [&]() -> Result<void> {
           BOOST_LEAF_AUTO(progress, codec_.DecodeProgress(row));
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -328,7 +328,10 @@
     writer_.SetServer(*command.store);
   }
   if (command.peers) OnPeerKnowledge(*command.peers);
-  if (command.progress) writer_.WriteProgress(*command.progress);
+  // A revision of an earlier era may have been given out again to another state of the row.
+  if (command.progress && command.progress->revision.era == era_.era()) {
+    writer_.WriteProgress(*command.progress);
+  }
 }
 
 void StoreDuty::OnPeerKnowledge(const PeerKnowledge& peers) {
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -42,7 +42,8 @@
 
 /// Command to the store duty.
 struct StoreCommand {
-  /// Rollout state to write to the store, if set.
+  /// Rollout state to write to the store, if set; dropped when the era of its expected revision is
+  /// over.
   std::optional<RolloutProgress> progress;
   /// New address of the store, if set.
   std::optional<Address> store;
--- a/src/bamboodock/routing/directory_codec.h
+++ b/src/bamboodock/routing/directory_codec.h
@@ -68,6 +68,8 @@
   /// Empty when the row is deleted or is not a rollout row; fails with `kBadMessage` when it is
   /// malformed.
   virtual Result<std::optional<RolloutProgress>> DecodeProgress(const StoreRow& row) const = 0;
+  /// Service whose rollout row is deleted; empty when the row is another one or not deleted.
+  virtual ServiceId RemovedProgress(const StoreRow& row) const = 0;
 
   virtual RowWrite EncodePeer(const PeerRecord& peer) const = 0;
   /// Writes for the progress row and the operator's status row, on condition that the progress row
--- a/test/command/router/rollout_return_test.cc
+++ b/test/command/router/rollout_return_test.cc
@@ -56,6 +56,9 @@
   CPPUNIT_TEST(OrderOfAnotherTargetBeginsAnew);
   CPPUNIT_TEST(OrderGivenAgainInOneEraBeginsAnew);
   CPPUNIT_TEST(EarlierStateOfTheCopyIsReplaced);
+  CPPUNIT_TEST(MissingRowIsWrittenAgain);
+  CPPUNIT_TEST(RowOfAnotherEraIsNotExpected);
+  CPPUNIT_TEST(EntriesOfLowerRankLetOthersWriteFirst);
   CPPUNIT_TEST(FurtherStateIsTakenOver);
   CPPUNIT_TEST(RowOfANewerOrderIsKept);
   CPPUNIT_TEST(RollbackOfACancelledOrderStays);
@@ -121,6 +124,44 @@
     CPPUNIT_ASSERT(writes[0].order_revision == After(41) && writes[0].revision == After(42));
   }
 
+  // Guards against a state that stays lost, since the copy holds no row of the rollout.
+  void MissingRowIsWrittenAgain() {
+    Complete();
+    controller_.RemoveProgress(kService);
+    controller_.ApplyOrder(MakeOrder(After(30)));
+    const auto writes = controller_.Tick(kDuringTrial, {});
+    CPPUNIT_ASSERT(writes.size() == 1 && writes[0].state == RolloutState::kCompleted);
+    CPPUNIT_ASSERT(writes[0].order_revision == After(30) && writes[0].revision == After(0));
+  }
+
+  // Guards against a write that expects a revision of the lost history, which may have been given
+  // out again, and against one that names an order of it.
+  void RowOfAnotherEraIsNotExpected() {
+    Complete();
+    controller_.ApplyOrder(MakeOrder(After(30)));
+    CPPUNIT_ASSERT(controller_.Tick(kDuringTrial, {}).empty());
+    controller_.ApplyOrder(MakeOrder(After(35), kOtherTarget));
+    CPPUNIT_ASSERT(controller_.Tick(kDuringTrial, {}).empty());
+    controller_.Apply(MakeRow(After(20), RolloutState::kRunning, After(25)));
+    const auto writes = controller_.Tick(kDuringTrial, {});
+    CPPUNIT_ASSERT(writes.size() == 1 && writes[0].target == kOtherTarget);
+    CPPUNIT_ASSERT(writes[0].revision == After(25));
+  }
+
+  // Guards against several hundred entries that write the same row at once.
+  void EntriesOfLowerRankLetOthersWriteFirst() {
+    const std::map<ServiceId, RolloutInputs> third{{kService, {0, 2}}};
+    Complete();
+    controller_.ApplyOrder(MakeOrder(After(41)));
+    controller_.Apply(MakeRow(After(41), RolloutState::kRunning, After(42)));
+    CPPUNIT_ASSERT(controller_.Tick(kDuringTrial, third).empty());
+    CPPUNIT_ASSERT(controller_.Tick(kDuringTrial + milliseconds(2200), third).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         controller_.Tick(kDuringTrial + milliseconds(2250), third).size());
+    controller_.Apply(MakeRow(After(41), RolloutState::kCompleted, After(43)));
+    CPPUNIT_ASSERT(controller_.Tick(kNearEnd, third).empty());
+  }
+
   // Guards against a decision of another entry that is written over.
   void FurtherStateIsTakenOver() {
     controller_.ApplyOrder(MakeOrder(After(41)));
--- a/test/command/router/rollout_rewrite_test.cc
+++ b/test/command/router/rollout_rewrite_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST_SUITE(RolloutRewriteTest);
   CPPUNIT_TEST(CompletedRolloutStaysAndIsWrittenAgain);
   CPPUNIT_TEST(RolloutWhoseOrderIsWrittenAgainStays);
+  CPPUNIT_TEST(WriteOfAnotherEraIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,23 @@
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return UsesTargetOnly(); }));
   }
 
+  // Guards against a write that was decided before the return and meets a revision that has been
+  // given out again.
+  void WriteOfAnotherEraIsNotSent() {
+    PutOrder();
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return entry_->ConfigVersionInForce() == 10; }));
+    RolloutProgress progress;
+    progress.service = ServiceId("s1");
+    progress.target = VersionId("v2");
+    progress.revision = {StoreEra(2), 0};
+    entry_->Write(progress);
+    const auto is_stored = [&] { return store_->Value("bamboodock", "rollout/s1").has_value(); };
+    CPPUNIT_ASSERT(HoldsFor(milliseconds(1000), [&] { return !is_stored(); }));
+    progress.revision = {StoreEra(1), 0};
+    entry_->Write(progress);
+    CPPUNIT_ASSERT(HoldsWithin(kReadLimit, is_stored));
+  }
+
  private:
   std::uint64_t PutOrder() {
     return store_->Put("op", "rollout/s1",
--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -31,7 +31,7 @@
               *this, log_) {
     duty_.Start();
   }
-  ~FollowingEntry() { duty_.Stop(); }
+  ~FollowingEntry() override { duty_.Stop(); }
   FollowingEntry(const FollowingEntry&) = delete;
   FollowingEntry& operator=(const FollowingEntry&) = delete;
 
@@ -79,9 +79,11 @@
       const std::lock_guard lock(mutex_);
       writes = state_.Tick();
     }
-    for (const RolloutProgress& write : writes) {
-      duty_.Post({write, std::nullopt, std::nullopt});
-    }
+    for (const RolloutProgress& write : writes) Write(write);
+  }
+  /// Has the entry write the state of a rollout to the store.
+  void Write(const RolloutProgress& progress) {
+    duty_.Post({progress, std::nullopt, std::nullopt});
   }
   /// Delivers a report of this entry to another one.
   void Tell(FollowingEntry& other) {
