Test that a removed progress row names its service

Change: PlatformDirectoryCodecTest::RemovedProgressNamesItsService, for the row whose removal shows that the copy lacks it.

--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(OddRegistrationsAreRejected);
   CPPUNIT_TEST(MutatedRowsNeverCrash);
   CPPUNIT_TEST(RolloutProgressRoundTrips);
+  CPPUNIT_TEST(RemovedProgressNamesItsService);
   CPPUNIT_TEST(MalformedProgressIsRejected);
   CPPUNIT_TEST(StoreAnswersAreClassified);
   CPPUNIT_TEST(WritersOrderTheStatesOfTheirRows);
@@ -192,6 +193,17 @@
     CPPUNIT_ASSERT(read->started == std::chrono::milliseconds(7000));
   }
 
+  // Guards against a lost state that is never written again, since its removal is not seen, and
+  // against the removal of another row that is taken for it.
+  void RemovedProgressNamesItsService() {
+    const PlatformDirectoryCodec codec;
+    const auto removed = [&](const std::string& key, bool deleted) {
+      return codec.RemovedProgress({"bamboodock", key, "", {kEra, 5}, deleted});
+    };
+    CPPUNIT_ASSERT(removed("rollout/s1", true) == ServiceId("s1"));
+    CPPUNIT_ASSERT(removed("rollout/s1", false).empty() && removed("entry/h1", true).empty());
+  }
+
   // Guards against a process that ends because of a row that another program wrote, and against an
   // unknown state that is taken for a known one.
   void MalformedProgressIsRejected() {
