--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -74,6 +74,19 @@
   }
   const RouterCounters& counters() const { return counters_; }
   const SharedEventLog& log() const { return log_; }
+  /// Does the periodic work of the entry and writes what it has decided to the store.
+  void Tick() {
+    std::vector<RolloutProgress> writes;
+    {
+      const std::lock_guard lock(mutex_);
+      writes = state_.Tick();
+    }
+    for (const RolloutProgress& write : writes) Write(write);
+  }
+  /// Has the entry write the state of a rollout to the store.
+  void Write(const RolloutProgress& progress) {
+    duty_.Post({progress, std::nullopt, std::nullopt});
+  }
   /// Delivers a report of this entry to another one.
   void Tell(FollowingEntry& other) {
     PeerReport report;
