--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -141,7 +141,7 @@
   // The clock of the store may have been set back with its rows.
   store_clock_ = StoreClock();
   for (TableWatch* watch : Watches()) ListAgain(*watch);
-  writer_.WriteSelf(SpreadOverHosts(kSelfRewriteSpread));
+  writer_.OnStoreReturned(SpreadOverHosts(kSelfRewriteSpread));
 }
 
 void StoreDuty::ListAgain(TableWatch& watch) {
--- a/src/bamboodock/command/router/store_writer.cc
+++ b/src/bamboodock/command/router/store_writer.cc
@@ -44,6 +44,12 @@
   wake_.cancel();
 }
 
+void StoreWriter::OnStoreReturned(std::chrono::milliseconds delay) {
+  for (const RolloutProgress& progress : queue_) pending_writes_.erase(progress.service);
+  queue_.clear();
+  WriteSelf(delay);
+}
+
 void StoreWriter::WriteProgress(const RolloutProgress& progress) {
   if (!pending_writes_.insert(progress.service).second) return;
   queue_.push_back(progress);
--- a/src/bamboodock/command/router/store_writer.h
+++ b/src/bamboodock/command/router/store_writer.h
@@ -34,6 +34,9 @@
   /// Writes the row of this entry after `delay`, and again until the store has acknowledged it. A
   /// write that is due earlier stays so.
   void WriteSelf(std::chrono::milliseconds delay);
+  /// Drops the writes that wait, since they expect revisions of an earlier era, and writes the row
+  /// of this entry again after `delay`.
+  void OnStoreReturned(std::chrono::milliseconds delay);
   /// Writes the state of a rollout, unless a write for its service is in progress.
   void WriteProgress(const RolloutProgress& progress);
 
--- a/src/bamboodock/command/router/table_watch.cc
+++ b/src/bamboodock/command/router/table_watch.cc
@@ -14,7 +14,8 @@
 constexpr std::chrono::milliseconds kListingInterval{600};
 /// Time within which endpoints that are alive register again after the store's return.
 constexpr std::chrono::milliseconds kRegistrationGrace{2200};
-/// Time for which orders are kept that an older copy contradicts, so that they can be written again.
+/// Time for which orders are kept that an older copy contradicts, so that they can be written
+/// again.
 constexpr std::chrono::seconds kOrderRewriteTime{30};
 /// The same for the states of endpoints, which renew their registrations every few seconds.
 constexpr std::chrono::seconds kRegistrationRewriteTime{10};
--- a/src/bamboodock/core/store_revision.h
+++ b/src/bamboodock/core/store_revision.h
@@ -20,7 +20,9 @@
   /// Increases with each transaction of an era; 0 stands for a row that does not exist.
   std::uint64_t number = 0;
 
-  friend constexpr auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
+  friend constexpr auto operator<=>(const StoreRevision&,
+                                    const StoreRevision&) =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/policy/returned_row.h
+++ b/src/bamboodock/policy/returned_row.h
@@ -15,7 +15,9 @@
   /// Increases with each state of one start.
   std::uint64_t number = 0;
 
-  friend constexpr auto operator<=>(const WriterSequence&, const WriterSequence&) = default;
+  friend constexpr auto operator<=>(const WriterSequence&,
+                                    const WriterSequence&) =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Tells one write of a row from the other writes of the same row.
--- a/test/command/router/followed_rows_test.cc
+++ b/test/command/router/followed_rows_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(RemovedRowOfTheCopyIsNotDeliveredOnceItIsGone);
   CPPUNIT_TEST(RemovalOfTheNewEraTakesEffectAtOnce);
   CPPUNIT_TEST(SecondReturnUndoesNothing);
+  CPPUNIT_TEST(NewestStateOfASecondCopyEndsTheHold);
   CPPUNIT_TEST(OrderGivenAgainAfterTheListingTakesEffect);
   CPPUNIT_TEST(DigestsAgreeWhileOneHoldsRows);
   CPPUNIT_TEST(RevisionsOfOneEraOrderTheRows);
@@ -156,6 +157,15 @@
     ExpectUpdate({"a=3"}, {Row("a", "3", kThird, 103)});
   }
 
+  // Guards against a state of the first copy that is delivered, although the second copy holds the
+  // newest one.
+  void NewestStateOfASecondCopyEndsTheHold() {
+    Follow({Row("a", "1", kFirst, 101), Row("a", "2", kFirst, 102)});
+    List(kSecond, 101, {Row("a", "1", kSecond, 101)});
+    ExpectList({}, kThird, 102, {Row("a", "2", kThird, 102)});
+    ExpectDue({}, 2 * kHold);
+  }
+
   // Guards against an order without effect that is given again as before, under the same revision.
   void OrderGivenAgainAfterTheListingTakesEffect() {
     Follow({Row("a", "on", kFirst, 101), Removal("a", kFirst, 102)});
@@ -180,9 +190,8 @@
   }
 
  private:
-  static constexpr RowRetention kRetention{.expiry_grace = kExpiryGrace,
-                                           .missing_grace = kMissingGrace,
-                                           .outdated_hold = kHold};
+  static constexpr RowRetention kRetention{
+      .expiry_grace = kExpiryGrace, .missing_grace = kMissingGrace, .outdated_hold = kHold};
 
   void Follow(const std::vector<StoreRow>& rows) {
     for (const StoreRow& row : rows) rows_.Update({row}, now_);
