Clear the open requests of ended entries in cancelled rollouts too

Cause: a cancelled rollout that is taken up again counted the open requests of entries that had ended meanwhile, and completed late. Change: OnEntryEnded covers the cancelled rollouts.

--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -94,9 +94,11 @@
 }
 
 void RolloutController::OnEntryEnded(const IncarnationId& entry) {
-  for (auto& [service, rollout] : rollouts_) {
-    const auto found = rollout.peer_evidence.find(entry);
-    if (found != rollout.peer_evidence.end()) found->second.open_at_old = 0;
+  for (auto* rollouts : {&rollouts_, &cancelled_}) {
+    for (auto& [service, rollout] : *rollouts) {
+      const auto found = rollout.peer_evidence.find(entry);
+      if (found != rollout.peer_evidence.end()) found->second.open_at_old = 0;
+    }
   }
 }
 
--- a/test/command/router/rollout_return_test.cc
+++ b/test/command/router/rollout_return_test.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kDuringTrial{6000};
 /// Time at which the time limit has nearly passed.
 constexpr milliseconds kNearEnd{24000};
+/// Time at which all traffic has moved, but requests may still be open at the old version.
+constexpr milliseconds kMoved{1000 + 17000};
 
 constexpr StoreRevision Before(std::uint64_t number) { return {StoreEra(1), number}; }
 constexpr StoreRevision After(std::uint64_t number) { return {StoreEra(2), number}; }
@@ -63,6 +65,7 @@
   CPPUNIT_TEST(RowOfANewerOrderIsKept);
   CPPUNIT_TEST(RollbackOfACancelledOrderStays);
   CPPUNIT_TEST(BadTargetOfACancelledOrderStaysExcluded);
+  CPPUNIT_TEST(EntryThatEndsAfterACancellationHoldsNothingOpen);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -202,6 +205,21 @@
     CPPUNIT_ASSERT(controller_.IsTargetExcluded(kService));
   }
 
+  // Guards against a rollout that waits for requests of an entry that has ended while its order was
+  // cancelled.
+  void EntryThatEndsAfterACancellationHoldsNothingOpen() {
+    RolloutEvidence evidence = MakeEvidence(Before(41));
+    evidence.open_at_old = 4;
+    controller_.Apply(IncarnationId("other"), evidence);
+    controller_.Cancel(kService);
+    controller_.OnEntryEnded(IncarnationId("other"));
+    controller_.Apply(MakeRow(After(41), RolloutState::kRunning, After(42)));
+    controller_.ApplyOrder(MakeOrder(After(41)));
+    controller_.Tick(kMoved, {});
+    const auto writes = controller_.Tick(kMoved, {});
+    CPPUNIT_ASSERT(writes.size() == 1 && writes[0].state == RolloutState::kCompleted);
+  }
+
  private:
   void Complete() {
     controller_.Apply(MakeRow(Before(41), RolloutState::kCompleted, Before(50)));
