Spread the requests at the end of the play over all endpoints

Requests that follow one another go to the endpoint that answers fastest, so an endpoint that was alive got none on a run of seed 1 although nothing was wrong. Bursts of open requests now check the reach, and endpoints that have left must get none of them. The settings of the play have names that a router does not take for its own.

--- a/test/process/store_return_play_test.cc
+++ b/test/process/store_return_play_test.cc
@@ -8,7 +8,8 @@
 namespace bamboodock::process_test {
 namespace {
 
-/// Integer of an environment variable, or `fallback`.
+/// Integer of an environment variable, or `fallback`. The names do not begin with BAMBOODOCK_,
+/// since a router refuses to start when it knows no setting of that name.
 std::uint64_t Setting(const char* name, std::uint64_t fallback) {
   const char* text = std::getenv(name);
   return text == nullptr ? fallback : std::stoull(text);
@@ -17,8 +18,8 @@
 }  // namespace
 
 /// Router processes before a store that returns from older copies (incident
-/// store-returns-from-copy). BAMBOODOCK_PLAY_SEED is the seed of the first play, by default 1, and
-/// BAMBOODOCK_PLAY_COUNT the number of plays, by default 1.
+/// store-returns-from-copy). PLAY_SEED is the seed of the first play, by default 1, and
+/// PLAY_COUNT the number of plays, by default 1.
 class StoreReturnPlayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreReturnPlayTest);
   CPPUNIT_TEST(ChangesAreInForceAfterReturns);
@@ -28,8 +29,8 @@
   // Guards against keys, routes and endpoints that are not in force, or are in force again, after
   // the store has come back from an older copy.
   void ChangesAreInForceAfterReturns() {
-    const std::uint64_t first = Setting("BAMBOODOCK_PLAY_SEED", 1);
-    const std::uint64_t count = Setting("BAMBOODOCK_PLAY_COUNT", 1);
+    const std::uint64_t first = Setting("PLAY_SEED", 1);
+    const std::uint64_t count = Setting("PLAY_COUNT", 1);
     std::string failed;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
       if (!Play(seed)) failed += " " + std::to_string(seed);
--- a/test/process/support/return_play.cc
+++ b/test/process/support/return_play.cc
@@ -20,6 +20,7 @@
 /// Service that the changing route is moved to; its endpoint never leaves.
 constexpr const char* kOtherService = "s2";
 constexpr milliseconds kCallInterval{15};
+constexpr milliseconds kBusyAnswerTime{50};
 /// Longer pauses of a thread that wakes up every `kWatchInterval` show that the host did not run
 /// this process.
 constexpr milliseconds kWatchInterval{20};
@@ -121,6 +122,7 @@
           const std::string target(request.target());
           const std::size_t router = std::stoul(target.substr(target.rfind('/') + 1));
           if (i < kPlayEndpoints) record_.Add(PlayedArrival{router, i, record_.Now()});
+          std::this_thread::sleep_for(answer_time_.load());
           const std::string attempt(request["X-Bamboodock-Attempt-Id"]);
           return ScriptedServer::Answer{
               "HTTP/1.1 200 OK\r\nX-Bamboodock-Attempt-Id: " + attempt +
@@ -172,13 +174,12 @@
   }
   constexpr milliseconds kQuiet{3000};
   std::this_thread::sleep_for(kQuiet);
-  std::vector<std::string> unreached;
-  CheckReach(unreached);
   stopping_ = true;
   for (std::thread& thread : threads_) thread.join();
   threads_.clear();
+  is_judged_ = false;
   std::vector<std::string> violations = record_.Violations();
-  violations.insert(violations.end(), unreached.begin(), unreached.end());
+  CheckReach(violations);
   return violations;
 }
 
@@ -226,7 +227,7 @@
         "POST " + prefix + std::to_string(router) +
         " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Api-Key: " + key +
         "\r\nX-Bamboodock-Time-Left-Ms: 20000\r\nX-Bamboodock-Attempt-Id: p" +
-        std::to_string(router) + "-" + std::to_string(request.sent.count()) +
+        std::to_string(router) + "-" + std::to_string(++calls_) +
         "\r\nContent-Length: 4\r\n\r\nbody";
     boost::asio::write(socket, boost::asio::buffer(bytes), error);
     boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
@@ -236,16 +237,36 @@
   if (is_judged_) record_.Add(std::move(request));
 }
 
+void ReturnPlay::CallAtOnce(std::size_t router) {
+  constexpr std::size_t kCallers = 4 * kPlayEndpoints;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.emplace_back([this, router] { Call(router, kAlwaysValid, "/a/"); });
+  }
+  for (std::thread& caller : callers) caller.join();
+}
+
 void ReturnPlay::CheckReach(std::vector<std::string>& violations) {
+  constexpr std::chrono::seconds kReachLimit{10};
+  // Open requests spread over all endpoints; those that follow one another go to the fastest.
+  answer_time_ = kBusyAnswerTime;
   const PlayTime since = record_.Now();
   for (std::size_t router = 0; router < kPlayRouters; ++router) {
-    WaitFor([&] { return record_.Reached(router, since) == plan_.alive; },
-            std::chrono::seconds(10));
+    WaitFor(
+        [&] {
+          CallAtOnce(router);
+          return record_.Reached(router, since) == plan_.alive;
+        },
+        kReachLimit);
     const std::set<std::size_t> reached = record_.Reached(router, since);
-    for (const std::size_t endpoint : plan_.alive) {
-      if (reached.contains(endpoint)) continue;
+    for (std::size_t endpoint = 0; endpoint < kPlayEndpoints; ++endpoint) {
+      const bool is_alive = plan_.alive.contains(endpoint);
+      if (reached.contains(endpoint) == is_alive) continue;
       violations.push_back("REACH endpoint " + std::to_string(endpoint) +
-                           " is alive and gets no requests of router " + std::to_string(router));
+                           (is_alive ? " is alive and gets no requests of router "
+                                     : " has left and gets requests of router ") +
+                           std::to_string(router));
     }
   }
 }
--- a/test/process/support/return_play.h
+++ b/test/process/support/return_play.h
@@ -57,6 +57,8 @@
   void CallContinually(std::size_t router);
   /// Sends a request on a new connection; records it.
   void Call(std::size_t router, const std::string& key, const std::string& prefix);
+  /// Sends several requests for each endpoint at once.
+  void CallAtOnce(std::size_t router);
   void CheckReach(std::vector<std::string>& violations);
 
   void ChangeConfig(std::size_t);
@@ -91,6 +93,10 @@
   std::uint64_t copied_version_ = 0;
   std::vector<bool> copied_leaving_;
   PlayTime away_since_{};
+  /// How long an endpoint takes for its answer.
+  std::atomic<std::chrono::milliseconds> answer_time_{std::chrono::milliseconds(5)};
+  /// Number of requests sent, for their ids.
+  std::atomic<std::size_t> calls_{0};
   /// Whether the answers to requests count, which those before all routers serve do not.
   std::atomic<bool> is_judged_{false};
   std::atomic<bool> stopping_{false};
