--- a/test/fakes/table_store.h
+++ b/test/fakes/table_store.h
@@ -76,15 +76,22 @@
     state_ = copy_;
     ++era_;
   }
-  /// Resets each call from now on until `Return`.
+  /// Resets the calls that wait, and each call from now on until `Return`.
   void GoAway() {
     const std::lock_guard lock(mutex_);
     away_ = true;
+    ++outages_;
     changed_.notify_all();
   }
   void Return() {
     const std::lock_guard lock(mutex_);
     away_ = false;
+    first_answer_.reset();
+  }
+  /// When the first answer since the last return was made; empty before.
+  std::optional<std::chrono::steady_clock::time_point> first_answer() const {
+    const std::lock_guard lock(mutex_);
+    return first_answer_;
   }
 
  private:
@@ -149,8 +156,10 @@
     const std::uint64_t after = std::stoull(Parameter(target, "after"));
     const std::chrono::milliseconds wait(std::stoll(Parameter(target, "waitMs")));
     if (after > state_.revision) return {410, Json::object()};
-    changed_.wait_for(lock, wait,
-                      [&] { return away_ || stopping_ || !RowsOf(table, after, true).empty(); });
+    const std::uint64_t outages = outages_;
+    changed_.wait_for(lock, wait, [&] {
+      return outages_ != outages || stopping_ || !RowsOf(table, after, true).empty();
+    });
     Reply reply;
     reply.body["rows"] = RowsOf(table, after, true);
     return reply;
@@ -186,8 +195,11 @@
     ++calls_;
     std::unique_lock lock(mutex_);
     if (away_) return {"", ConnectionAction::kReset};
+    // The store may be back before a call that waited runs again.
+    const std::uint64_t outages = outages_;
     Reply reply = Dispatch(request, lock);
-    if (away_) return {"", ConnectionAction::kReset};
+    if (outages_ != outages) return {"", ConnectionAction::kReset};
+    if (!first_answer_) first_answer_ = std::chrono::steady_clock::now();
     reply.body["ver"] = state_.revision;
     reply.body["nowMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(
                               std::chrono::steady_clock::now().time_since_epoch())
@@ -206,6 +218,8 @@
   State copy_;
   std::uint64_t era_ = 1;
   bool away_ = false;
+  std::uint64_t outages_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> first_answer_;
   bool stopping_ = false;
   std::atomic<bool> states_era_{true};
   std::atomic<std::size_t> calls_{0};
--- a/test/process/support/return_plan.cc
+++ b/test/process/support/return_plan.cc
@@ -71,7 +71,7 @@
   void PlanCopy(StoreReturn& next, bool keeps_copy) {
     enum Loss { kNothing, kWrites, kMany };
     const Loss loss = OneIn(4) ? kNothing : OneIn(3) ? kWrites : kMany;
-    next.copy = loss == kNothing ? next.away : next.away - Between(1000, 3500);
+    next.copy = loss == kNothing ? next.away : next.away - Between(1000, 4000);
     if (keeps_copy) {
       next.copy = returns_.back().copy;
     } else {
@@ -144,8 +144,19 @@
   }
 
   void PlanLeaving(std::size_t endpoint) {
-    const PlayTime drain = WhenWritable(NearReturn(), &StoreReturn::restated);
-    const PlayTime remove = WhenWritable(drain + Between(500, 3000), &StoreReturn::restated);
+    PlayTime drain = NearReturn();
+    PlayTime remove = drain + Between(500, 3000);
+    if (endpoint == 0) {
+      // All entries have read the removal, and the copy holds the endpoint as ready.
+      const StoreReturn& one = *std::max_element(returns_.begin(), returns_.end(),
+                                                 [](const StoreReturn& a, const StoreReturn& b) {
+                                                   return a.away - a.copy < b.away - b.copy;
+                                                 });
+      drain = one.copy + Between(10, 200);
+      remove = drain + Between(100, 700);
+    }
+    drain = WhenWritable(drain, &StoreReturn::restated);
+    remove = WhenWritable(std::max(remove, drain + PlayTime(50)), &StoreReturn::restated);
     Add(drain, PlayAction::kDrain, endpoint);
     Add(remove, PlayAction::kRemove, endpoint);
     plan_.alive.erase(endpoint);
