--- a/test/fakes/following_entry.h
+++ b/test/fakes/following_entry.h
@@ -31,7 +31,7 @@
               *this, log_) {
     duty_.Start();
   }
-  ~FollowingEntry() { duty_.Stop(); }
+  ~FollowingEntry() override { duty_.Stop(); }
   FollowingEntry(const FollowingEntry&) = delete;
   FollowingEntry& operator=(const FollowingEntry&) = delete;
 
--- a/test/process/support/return_play.cc
+++ b/test/process/support/return_play.cc
@@ -123,10 +123,10 @@
           const std::size_t router = std::stoul(target.substr(target.rfind('/') + 1));
           if (i < kPlayEndpoints) record_.Add(PlayedArrival{router, i, record_.Now()});
           std::this_thread::sleep_for(answer_time_.load());
-          const std::string attempt(request["X-Bamboodock-Attempt-Id"]);
-          return ScriptedServer::Answer{
-              "HTTP/1.1 200 OK\r\nX-Bamboodock-Attempt-Id: " + attempt +
-              "\r\nX-Bamboodock-Response-Stamp: s\r\nContent-Length: 2\r\n\r\n" + service};
+          std::string answer = "HTTP/1.1 200 OK\r\nX-Bamboodock-Attempt-Id: ";
+          answer.append(request["X-Bamboodock-Attempt-Id"]);
+          answer.append("\r\nX-Bamboodock-Response-Stamp: s\r\nContent-Length: 2\r\n\r\n");
+          return ScriptedServer::Answer{answer + service};
         });
     endpoints_.push_back(std::move(endpoint));
     if (i < plan_.first_endpoints || i == kPlayEndpoints) Register(i);
