--- a/test/process/support/return_play.cc
+++ b/test/process/support/return_play.cc
@@ -74,7 +74,7 @@
 std::string OutcomeOf(const std::string& answer) {
   constexpr std::string_view kProtocol = "HTTP/1.1 ";
   if (!answer.starts_with(kProtocol)) return "0";
-  const std::string status = answer.substr(kProtocol.size(), 3);
+  std::string status = answer.substr(kProtocol.size(), 3);
   if (status != "200") return status;
   return "200 " + answer.substr(answer.size() - 2);
 }
