Let a removal cover the unread states of its lifetime

Cause: the row of the copy was compared with the last state read, although the removal ends all states of the lifetime. Change: after a removal, a row of the same start that may have come with the copy is outdated.

--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -288,11 +288,15 @@
   if (&watch == &operator_watch_ && now - peers_covered_until_ < kMaxPeerCoverageAge) {
     wait = kSharedOperatorFeedWait + SpreadOverHosts(kSharedFeedWaitSpread);
   }
-  if (const auto next = watch.rows.NextDue()) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*next - now);
-    wait = std::clamp(left, kProbeWait, wait);
-  }
-  return wait;
+  return UntilNextDue(watch, wait);
+}
+
+std::chrono::milliseconds StoreDuty::UntilNextDue(const TableWatch& watch,
+                                                  std::chrono::milliseconds longest) const {
+  const auto next = watch.rows.NextDue();
+  if (!next) return longest;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*next - clock_.Now());
+  return std::clamp(left, kProbeWait, longest);
 }
 
 asio::awaitable<bool> StoreDuty::Poll(TableWatch& watch, Emit emit) {
@@ -312,7 +316,7 @@
   changes.rows.insert(changes.rows.end(), due.begin(), due.end());
   Deliver(watch, emit, changes.rows);
   if (!changes.rows.empty() && watch.timing.batch_delay.count() > 0) {
-    co_await Pause(watch, watch.timing.batch_delay);
+    co_await Pause(watch, UntilNextDue(watch, watch.timing.batch_delay));
   }
   co_return true;
 }
--- a/src/bamboodock/command/router/store_duty.h
+++ b/src/bamboodock/command/router/store_duty.h
@@ -113,6 +113,9 @@
     return {&operator_watch_, &endpoint_watch_, &router_watch_};
   }
   std::chrono::milliseconds FeedWait(const TableWatch& watch) const;
+  /// Time until the next held row is due, at most `longest`.
+  std::chrono::milliseconds UntilNextDue(const TableWatch& watch,
+                                         std::chrono::milliseconds longest) const;
   /// Part of a time span that depends on the host, so that entries do not act at the same moment.
   std::chrono::milliseconds SpreadOverHosts(std::chrono::milliseconds longest) const;
 
--- a/src/bamboodock/policy/returned_row.cc
+++ b/src/bamboodock/policy/returned_row.cc
@@ -14,7 +14,11 @@
   }
   if (!before.sequence || !after.sequence) return ReturnedRowVerdict::kNewer;
   if (*after.sequence < *before.sequence) return ReturnedRowVerdict::kOutdated;
-  if (before.removed && *after.sequence == *before.sequence) return ReturnedRowVerdict::kOutdated;
+  // A removal is read without the states that were written shortly before it.
+  const bool is_same_start = after.sequence->start == before.sequence->start;
+  const bool is_removed_state =
+      is_same_start && (after.may_be_of_copy || *after.sequence == *before.sequence);
+  if (before.removed && is_removed_state) return ReturnedRowVerdict::kOutdated;
   return ReturnedRowVerdict::kNewer;
 }
 
--- a/test/policy/returned_row_test.cc
+++ b/test/policy/returned_row_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(LowerSequenceIsOutdated);
   CPPUNIT_TEST(RemovedStateWrittenAgainIsOutdated);
   CPPUNIT_TEST(StateWrittenAgainUnderALowerRevisionIsNewer);
+  CPPUNIT_TEST(RemovalCoversUnreadStatesOfTheCopy);
   CPPUNIT_TEST(LaterStartIsNewer);
   CPPUNIT_TEST(RevisionGivenOutAgainIsAnotherWrite);
   CPPUNIT_TEST(UnknownWriteWithoutSequenceIsNewer);
@@ -62,7 +63,13 @@
   void StateWrittenAgainUnderALowerRevisionIsNewer() {
     Expect(Verdict::kNewer, Known(), {kUnknown, WriterSequence{1000, 7}});
     Expect(Verdict::kNewer, Known(), {kUnknown, WriterSequence{1000, 8}});
-    Expect(Verdict::kNewer, Known(true), {kUnknown, WriterSequence{1000, 8}});
+    Expect(Verdict::kNewer, Known(true), {kUnknown, WriterSequence{1000, 8}, false});
+  }
+
+  // Guards against requests to an endpoint whose removal was read without the state before it, which
+  // the copy holds.
+  void RemovalCoversUnreadStatesOfTheCopy() {
+    Expect(Verdict::kOutdated, Known(true), {kUnknown, WriterSequence{1000, 8}});
   }
 
   void LaterStartIsNewer() {
