--- a/test/command/router/returned_removal_test.cc
+++ b/test/command/router/returned_removal_test.cc
@@ -50,7 +50,7 @@
     store_->TakeCopy();
     store_->Remove("servers", "e1");
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return !Sends("e1"); }));
-    GoAwayAndRestore();
+    store_->GoAwayAndRestore();
     store_->Return();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(4000), [&] { return !Sends("e1"); }));
   }
@@ -60,7 +60,7 @@
   // of the play, with a router that was frozen over the return.
   void RemovalBeforeTheFirstListingTakesEffectInTime() {
     store_->TakeCopy();
-    GoAwayAndRestore();
+    store_->GoAwayAndRestore();
     store_->Remove("servers", "e1");
     store_->Return();
     CPPUNIT_ASSERT(HoldsWithin(kDrainLimit, [&] { return !Sends("e1"); }));
@@ -70,13 +70,6 @@
  private:
   bool Sends(const std::string& endpoint) { return entry_->Endpoints("k1").contains(endpoint); }
 
-  void GoAwayAndRestore() {
-    constexpr milliseconds kAway{500};
-    store_->GoAway();
-    store_->RestoreCopy();
-    std::this_thread::sleep_for(kAway);
-  }
-
   std::unique_ptr<TableStore> store_;
   std::unique_ptr<FollowingEntry> entry_;
 };
--- a/test/command/router/rollout_rewrite_test.cc
+++ b/test/command/router/rollout_rewrite_test.cc
@@ -62,7 +62,7 @@
     store_->SkipRevisions(kManyLost);
     PutProgress(order, kCompleted);
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return UsesTargetOnly(); }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsWithin(kRewriteLimit, [&] { return IsStored(order, kCompleted); }));
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return UsesTargetOnly(); }));
   }
@@ -74,7 +74,7 @@
     store_->SkipRevisions(kManyLost);
     PutProgress(PutOrder(), kCompleted);
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return UsesTargetOnly(); }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     const std::uint64_t order = PutOrder();
     CPPUNIT_ASSERT(HoldsWithin(kRewriteLimit, [&] { return IsStored(order, kCompleted); }));
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return UsesTargetOnly(); }));
@@ -119,14 +119,6 @@
     return *value == ToBase64(expected.dump());
   }
 
-  void ReturnFromCopy() {
-    constexpr milliseconds kAway{500};
-    store_->GoAway();
-    store_->RestoreCopy();
-    std::this_thread::sleep_for(kAway);
-    store_->Return();
-  }
-
   std::unique_ptr<TableStore> store_;
   std::unique_ptr<FollowingEntry> entry_;
 };
--- a/test/command/router/store_return_metrics_test.cc
+++ b/test/command/router/store_return_metrics_test.cc
@@ -51,7 +51,7 @@
     CPPUNIT_ASSERT(Shows("bamboodock_store_era 1"));
     CPPUNIT_ASSERT(Shows("bamboodock_store_returns_total 0"));
     CPPUNIT_ASSERT(Shows("bamboodock_store_rows_outdated_total 0"));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(ShowsWithin(kReadLimit, "bamboodock_store_rows_outdated_total 1"));
     CPPUNIT_ASSERT(Shows("bamboodock_store_era 2"));
     CPPUNIT_ASSERT(Shows("bamboodock_store_returns_total 1"));
@@ -65,13 +65,13 @@
   // each listing of a table as one of the return.
   void EachReturnIsReadAgainOnce() {
     CPPUNIT_ASSERT(Readings().empty());
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Readings().size() == 1; }));
     // The copy lacks the row of e2, and holds the row of e1.
     AssertReading(Readings().front(), "era=2 ", " kept=1 outdated=1");
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return entry_->Endpoints("k1").empty(); }));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Readings().size());
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Readings().size() == 2; }));
     AssertReading(Readings().back(), "era=3 ", " kept=0 outdated=1");
   }
@@ -86,14 +86,6 @@
     CPPUNIT_ASSERT_MESSAGE(detail, detail.ends_with(end));
   }
 
-  void ReturnFromCopy() {
-    constexpr milliseconds kAway{500};
-    store_->GoAway();
-    store_->RestoreCopy();
-    std::this_thread::sleep_for(kAway);
-    store_->Return();
-  }
-
   /// Whether the metrics page has the line.
   bool Shows(const std::string& line) const {
     const MetricsQuery page(entry_->counters(), [] { return MakeRef<RouterStatus>(); });
--- a/test/fakes/table_store.h
+++ b/test/fakes/table_store.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "fakes/base64.h"
@@ -88,6 +89,18 @@
     away_ = false;
     first_answer_.reset();
   }
+  /// Is away for half a second, which all clients notice, and has the rows of the copy then.
+  void GoAwayAndRestore() {
+    constexpr std::chrono::milliseconds kAway{500};
+    GoAway();
+    RestoreCopy();
+    std::this_thread::sleep_for(kAway);
+  }
+  /// The same, and is back.
+  void ReturnFromCopy() {
+    GoAwayAndRestore();
+    Return();
+  }
   /// When the first answer since the last return was made; empty before.
   std::optional<std::chrono::steady_clock::time_point> first_answer() const {
     const std::lock_guard lock(mutex_);
