--- a/test/command/router/store_return_test.cc
+++ b/test/command/router/store_return_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(EvacuationThatTheCopyLacksStaysInForce);
   CPPUNIT_TEST(ReturnWithoutAnOutageIsNoticed);
   CPPUNIT_TEST(TwoReturnsCloseTogetherUndoNothing);
+  CPPUNIT_TEST(RejectedConfigurationDoesNotHoldBackLaterOnes);
   CPPUNIT_TEST(RowOfTheEntryIsWrittenAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,7 +61,7 @@
   // was given out before.
   void ConfigurationUnderAKnownRevisionIsInForce() {
     LoseConfigurations();
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(
         HoldsWithin(kReadLimit, [&] { return entry_->ConfigAge() < milliseconds(200); }));
     store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
@@ -103,7 +104,7 @@
     store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
     store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
     store_->Put("servers", "e1", RegistrationRow(kStarted, 3, "draining"));
     CPPUNIT_ASSERT(
@@ -117,7 +118,7 @@
     store_->Remove("servers", "e1");
     CPPUNIT_ASSERT(
         HoldsWithin(kReadLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(4000), [&] { return !Endpoints().contains("e1"); }));
   }
 
@@ -127,7 +128,7 @@
     store_->SkipRevisions(kManyLost);
     store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
     std::this_thread::sleep_for(milliseconds(500));
     store_->Remove("servers", "e1");
@@ -140,7 +141,7 @@
   void RemovedKeyOfTheCopyStaysRemoved() {
     store_->Put("op", "config", ConfigRow(11, {"k2"}));
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return IsInForce(11); }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(3000), [&] {
       return entry_->Code("/a/", "k1") == ResultCode::kUnauthorized;
     }));
@@ -154,7 +155,7 @@
     store_->Put("servers", "e1", RegistrationRow(kStarted, 3, "draining"));
     CPPUNIT_ASSERT(
         HoldsWithin(kReadLimit, [&] { return Endpoints() == std::set<std::string>{"e2"}; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     store_->SkipRevisions(kManyLost);
     store_->Put("servers", "e2", RegistrationRow(kStarted, 2));
     store_->Put("servers", "e1", RegistrationRow(kStarted, 2));
@@ -167,7 +168,7 @@
   void EndpointThatTheCopyLacksGetsRequestsUntilItIsBack() {
     store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == kBoth; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1200), [&] { return Endpoints() == kBoth; }));
     store_->Put("servers", "e2", RegistrationRow(kStarted, 1));
     CPPUNIT_ASSERT(HoldsFor(milliseconds(3000), [&] { return Endpoints() == kBoth; }));
@@ -180,7 +181,7 @@
     store_->Put("op", "evacuate/z1", nlohmann::json::object());
     const std::set<std::string> other{"e2"};
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == other; }));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(2000), [&] { return Endpoints() == other; }));
     store_->Put("op", "evacuate/z1", nlohmann::json::object());
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return Endpoints() == other; }));
@@ -205,14 +206,28 @@
     const std::set<std::string> other{"e2"};
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return Endpoints() == other; }));
     LoseConfigurations();
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     std::this_thread::sleep_for(milliseconds(700));
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsFor(milliseconds(1500), [&] { return Endpoints() == other; }));
     store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
     CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
   }
 
+  // Guards against configurations that are not in force, since one that was rejected before the
+  // return has a higher version.
+  void RejectedConfigurationDoesNotHoldBackLaterOnes() {
+    LoseConfigurations();
+    nlohmann::json rejected = ConfigRow(1000, {"k2"});
+    rejected["routes"] = "none";
+    store_->Put("op", "config", rejected);
+    std::this_thread::sleep_for(milliseconds(500));
+    CPPUNIT_ASSERT(IsInForce(80));
+    store_->ReturnFromCopy();
+    store_->Put("op", "config", ConfigRow(90, {"k2"}, "/new/"));
+    CPPUNIT_ASSERT(HoldsWithin(kConfigApplyLimit, [&] { return IsInForce(90); }));
+  }
+
   // Guards against entries that start later and don't learn of this one.
   void RowOfTheEntryIsWrittenAgain() {
     constexpr milliseconds kRewriteLimit{8000};
@@ -220,7 +235,7 @@
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, is_written));
     store_->Remove("bamboodock", "entry/h1");
     store_->TakeCopy();
-    ReturnFromCopy();
+    store_->ReturnFromCopy();
     CPPUNIT_ASSERT(HoldsWithin(kRewriteLimit, is_written));
   }
 
@@ -235,14 +250,6 @@
     CPPUNIT_ASSERT(HoldsWithin(kReadLimit, [&] { return IsInForce(80); }));
   }
 
-  void ReturnFromCopy() {
-    constexpr milliseconds kAway{500};
-    store_->GoAway();
-    store_->RestoreCopy();
-    std::this_thread::sleep_for(kAway);
-    store_->Return();
-  }
-
   std::unique_ptr<TableStore> store_;
   std::unique_ptr<FollowingEntry> entry_;
 };
