Keep registrations that a copy lacks for less than the time to stop

Cause: a row that the first listing lacks may be missing from the copy or removed; it was kept for 2.2 s from the listing. Change: 1.6 s, so that the bound of 2 s holds with the time for the notice. Endpoints that are back later than that get no requests for that time. Lapses in outages without a loss keep 2.2 s.

--- a/src/bamboodock/command/router/table_watch.cc
+++ b/src/bamboodock/command/router/table_watch.cc
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds kListingInterval{600};
 /// Time within which endpoints that are alive register again after the store's return.
 constexpr std::chrono::milliseconds kRegistrationGrace{2200};
+/// Time for which registrations are kept that a copy lacks. Endpoints that are alive are back about
+/// two seconds after the store's return, but one that has left in the meantime must get no requests
+/// after two seconds, of which noticing the return and ending the hold take up to 0.4.
+constexpr std::chrono::milliseconds kMissingRegistrationGrace{1600};
 /// Time for which orders are kept that an older copy contradicts, so that they can be written
 /// again.
 constexpr std::chrono::seconds kOrderRewriteTime{30};
@@ -42,7 +46,7 @@
                                   .batch_delay = std::chrono::milliseconds(500),
                                   .max_retry_delay = std::chrono::milliseconds(600),
                                   .retention = {.expiry_grace = kRegistrationGrace,
-                                                .missing_grace = kRegistrationGrace,
+                                                .missing_grace = kMissingRegistrationGrace,
                                                 .outdated_hold = kRegistrationRewriteTime,
                                                 .redelivers_survivors = false}};
 
