Bound the holds after a return

What callers would see (found in review, each shown by a test that fails without the change): an endpoint that has left gets requests as long as the store is away every few seconds (OutagesEndNoHoldTooLate); an endpoint that is alive gets none, since each renewal begins a new hold (RowWrittenAgainAndAgainIsDelivered); rows are dropped, since a removal that was not accepted is stamped with a position of the lost era or above the listing (RowBelowThePositionOfTheLostEraIsDelivered, RowAfterARemovalThatWasNotAcceptedIsDelivered); a store without eras that loses history leaves removed endpoints out (StoreWithoutErasThatLosesHistoryIsFollowed). Change: two outages at most begin a hold anew; a row written again keeps the time of the first hold; removals by listing are stamped within the listing's era; a lower revision without a new era drops the memory of removals. A feed call that is closed by a return ends no hold.

--- a/src/bamboodock/command/router/followed_rows.cc
+++ b/src/bamboodock/command/router/followed_rows.cc
@@ -102,9 +102,10 @@
     Apply(std::move(row), tracked, changes);
     return;
   }
-  ReleaseHolds(row.key);
+  deferred_removals_.erase(row.key);
   tracked.read = row.revision;
   if (verdict == ReturnedRowVerdict::kSurvived) {
+    held_.Release(row.key);
     tracked.in_force = row.revision;
     if (retention_.redelivers_survivors) changes.rows.push_back(std::move(row));
     return;
@@ -159,9 +160,21 @@
 }
 
 // Modelled in model/store_return.pml, inline UpdateAbsent.
+void FollowedRows::ForgetLostRemovals(StoreRevision since, StoreRevision listed) {
+  if (listed.era != since.era || listed.number >= since.number) return;
+  std::erase_if(tracked_, [&](const auto& entry) {
+    const TrackedRow& tracked = entry.second;
+    return tracked.removed && !tracked.undelivered && tracked.read > listed;
+  });
+}
+
 RowChanges FollowedRows::Replace(std::vector<StoreRow> rows, StoreRevision since,
                                  StoreRevision listed, MonotonicTime now) {
   if (first_listing_.era != listed.era) first_listing_ = listed;
+  ForgetLostRemovals(since, listed);
+  // A position of another era says nothing about when rows were removed.
+  const std::uint64_t removed_at =
+      since.era == listed.era ? std::min(since.number + 1, listed.number) : listed.number;
   const std::set<std::string, std::less<>> present = KeysOf(rows);
   RowChanges missing;
   for (const auto& [key, tracked] : tracked_) {
@@ -173,7 +186,7 @@
     if (tracked.read.era != listed.era && !tracked.undelivered) {
       KeepMissing(key, listed.era, now, missing);
     } else {
-      rows.push_back({table_, key, "", {listed.era, since.number + 1}, true});
+      rows.push_back({table_, key, "", {listed.era, removed_at}, true});
     }
   }
   RowChanges changes = Update(std::move(rows), now);
--- a/src/bamboodock/command/router/followed_rows.h
+++ b/src/bamboodock/command/router/followed_rows.h
@@ -29,7 +29,8 @@
 /// Removal that is held back, since the row may return.
 struct DeferredRemoval {
   std::string key;
-  /// Revision of the removal, or the first one that it can have.
+  /// Revision of the removal, or the first one that it can have; number 0 for a row that an older
+  /// copy lacks.
   StoreRevision revision;
   MonotonicTime until;
 };
@@ -89,10 +90,10 @@
   struct TrackedRow {
     /// Revision under which the store holds the row, as far as it was read.
     StoreRevision read;
-    /// Revision of the state in force. Rows of other eras are judged against this state until the
-    /// store holds it, or a newer one, in its present era.
+    /// Revision of the state that was delivered last. Rows of other eras are judged against this
+    /// state until the store holds it, or a newer one, in its present era.
     StoreRevision in_force;
-    /// Value in force.
+    /// Value that was delivered last; the listener may have rejected it.
     std::string value;
     /// Known writes of this row, newest last.
     std::vector<WriteMark> writes;
@@ -110,6 +111,8 @@
   void KeepMissing(const std::string& key, StoreEra era, MonotonicTime now, RowChanges& changes);
   /// Whether the row may have come with the copy of its era, and was not written since.
   bool MayBeOfCopy(StoreRevision revision) const;
+  /// Forgets removals if the store has lost revisions without a new era.
+  void ForgetLostRemovals(StoreRevision since, StoreRevision listed);
   /// Ends what is held back for a key.
   void ReleaseHolds(const std::string& key);
   std::vector<StoreRow> TakeDueRemovals(MonotonicTime now);
--- a/src/bamboodock/command/router/held_rows.cc
+++ b/src/bamboodock/command/router/held_rows.cc
@@ -4,15 +4,28 @@
 #include <utility>
 
 namespace bamboodock {
+namespace {
+
+constexpr std::uint32_t kMaxExtensions = 2;
+
+}  // namespace
 
 void HeldRows::Hold(StoreRow row, Duration time, MonotonicTime now) {
-  const std::string key = row.key;
-  held_.insert_or_assign(key, HeldRow{std::move(row), time, now + time});
+  const auto [entry, added] = held_.try_emplace(row.key);
+  HeldRow& held = entry->second;
+  const bool is_written_again =
+      !added && held.row.deleted == row.deleted && held.row.revision.era == row.revision.era;
+  if (!is_written_again) held = {{}, time, now + time, 0};
+  held.row = std::move(row);
 }
 
 void HeldRows::OnAnswer(MonotonicTime now) {
   if (!std::exchange(in_outage_, false)) return;
-  for (auto& [key, held] : held_) held.until = now + held.time;
+  for (auto& [key, held] : held_) {
+    if (held.extensions >= kMaxExtensions) continue;
+    ++held.extensions;
+    held.until = now + held.time;
+  }
 }
 
 std::vector<StoreRow> HeldRows::TakeDue(MonotonicTime now) {
--- a/src/bamboodock/command/router/held_rows.h
+++ b/src/bamboodock/command/router/held_rows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,11 +14,14 @@
 /// What an older copy of the store says about rows whose known state is newer, held back for some
 /// time, since the newer state may be written again.
 ///
-/// The time counts only while the store answers, since nobody can write to it otherwise.
+/// The time counts only while the store answers, since nobody can write to it otherwise. Two
+/// outages at most start it anew, so that a store that is away again and again ends no hold too
+/// late.
 class HeldRows {
  public:
   /// Holds the row back, or its removal if it is deleted, which stands for a row that the copy
-  /// lacks. Replaces what is held for the key.
+  /// lacks. Replaces what is held for the key, but not the time of a row of the same era, since its
+  /// writer may write it again and again.
   void Hold(StoreRow row, Duration time, MonotonicTime now);
   /// Ends the hold without effect.
   void Release(const std::string& key) { held_.erase(key); }
@@ -44,6 +48,7 @@
     StoreRow row;
     Duration time;
     MonotonicTime until;
+    std::uint32_t extensions = 0;
   };
 
   std::map<std::string, HeldRow, std::less<>> held_;
--- a/src/bamboodock/command/router/store_duty.cc
+++ b/src/bamboodock/command/router/store_duty.cc
@@ -30,8 +30,7 @@
 constexpr std::string_view kWrites = "writes";
 constexpr std::size_t kInboxCapacity = 256;
 
-/// Rows of a copy that the known ones supersede. Other ignored rows are of the era of the known
-/// ones.
+/// Number of ignored rows that came with a copy; the others are of the era of the known ones.
 std::size_t CountOutdated(const RowChanges& changes) {
   return static_cast<std::size_t>(std::count_if(
       changes.ignored.begin(), changes.ignored.end(),
@@ -305,6 +304,8 @@
   const auto timeout = wait + kAnswerTimeout;
   std::optional<StoreAnswer> answer = co_await Query(watch, std::move(request), timeout);
   if (!answer) {
+    // Holds may end once the table is listed again.
+    if (!watch.listed) co_return false;
     const std::vector<StoreRow> due = watch.rows.TakeDue(clock_.Now());
     if (!due.empty()) Deliver(watch, emit, due);
     co_return false;
--- a/src/bamboodock/policy/returned_row.h
+++ b/src/bamboodock/policy/returned_row.h
@@ -62,8 +62,8 @@
 /// The copy holds earlier states of rows, and writers write lost ones again under revisions that
 /// were given out before, so the revisions of both histories cannot be compared. A known write that
 /// the copy may have held counts for what it was; others are ordered by their writer, and a row
-/// without such an order counts as newer. After a removal a row is the removed state if its order is
-/// equal, or if it is of the same start and the copy may have held it.
+/// without such an order counts as newer. After a removal a row is the removed state if its order
+/// is equal, or if it is of the same start and the copy may have held it.
 ReturnedRowVerdict JudgeReturnedRow(const RowBeforeReturn& before, const RowAfterReturn& after);
 
 }  // namespace bamboodock
--- a/test/command/router/followed_rows_test.cc
+++ b/test/command/router/followed_rows_test.cc
@@ -62,6 +62,11 @@
   CPPUNIT_TEST(RemovalOfTheNewEraTakesEffectAtOnce);
   CPPUNIT_TEST(SecondReturnUndoesNothing);
   CPPUNIT_TEST(NewestStateOfASecondCopyEndsTheHold);
+  CPPUNIT_TEST(OutagesEndNoHoldTooLate);
+  CPPUNIT_TEST(RowWrittenAgainAndAgainIsDelivered);
+  CPPUNIT_TEST(RowBelowThePositionOfTheLostEraIsDelivered);
+  CPPUNIT_TEST(RowAfterARemovalThatWasNotAcceptedIsDelivered);
+  CPPUNIT_TEST(StoreWithoutErasThatLosesHistoryIsFollowed);
   CPPUNIT_TEST(OrderGivenAgainAfterTheListingTakesEffect);
   CPPUNIT_TEST(DigestsAgreeWhileOneHoldsRows);
   CPPUNIT_TEST(RevisionsOfOneEraOrderTheRows);
@@ -166,6 +171,58 @@
     ExpectDue({}, 2 * kHold);
   }
 
+  // Guards against requests to an endpoint that has left, as long as a store is away every few
+  // seconds.
+  void OutagesEndNoHoldTooLate() {
+    Follow({Row("a", "1", kFirst, 101)});
+    List(kSecond, 90, {});
+    std::vector<StoreRow> due;
+    for (int outage = 0; outage < 3; ++outage) {
+      rows_.OnOutage();
+      now_ += seconds(1);
+      rows_.OnAnswer({kSecond, 90}, now_);
+      now_ += seconds(1);
+      due = rows_.TakeDue(now_);
+    }
+    CPPUNIT_ASSERT(Texts(due) == Keys{"a"});
+  }
+
+  // Guards against an endpoint that is alive and gets no requests, since each renewal of its
+  // registration begins a new hold.
+  void RowWrittenAgainAndAgainIsDelivered() {
+    Follow({Row("a", "1", kFirst, 101), Removal("a", kFirst, 102)});
+    List(kSecond, 100, {});
+    ExpectUpdate({}, {Row("a", "1", kSecond, 101)});
+    now_ += kHold - seconds(1);
+    ExpectUpdate({}, {Row("a", "1", kSecond, 102)});
+    ExpectDue({"a=1"}, seconds(1));
+  }
+
+  // Guards against rows that are dropped, since a removal that was not accepted is stamped with a
+  // position of the lost era.
+  void RowBelowThePositionOfTheLostEraIsDelivered() {
+    Follow({Row("a", "1", kFirst, 101)});
+    rows_.Forget({Row("a", "1", kFirst, 101)});
+    ExpectList({"a"}, kSecond, 90, {});
+    ExpectUpdate({"a=1"}, {Row("a", "1", kSecond, 105)});
+  }
+
+  // The same for a row that is written right after the listing of one era.
+  void RowAfterARemovalThatWasNotAcceptedIsDelivered() {
+    Follow({Row("a", "1", kFirst, 101), Removal("a", kFirst, 150)});
+    rows_.Forget({Removal("a", kFirst, 150)});
+    ExpectList({"a"}, kFirst, 150, {});
+    ExpectUpdate({"a=2"}, {Row("a", "2", kFirst, 151)});
+  }
+
+  // Guards against an endpoint without requests after a loss of history that no era shows.
+  void StoreWithoutErasThatLosesHistoryIsFollowed() {
+    constexpr StoreEra kNone(0);
+    Follow({Row("a", "1", kNone, 101), Row("b", "1", kNone, 102), Removal("a", kNone, 149)});
+    rows_.Replace({}, {kNone, 150}, {kNone, 127}, now_);
+    ExpectUpdate({"a=2", "b=2"}, {Row("a", "2", kNone, 130), Row("b", "2", kNone, 131)});
+  }
+
   // Guards against an order without effect that is given again as before, under the same revision.
   void OrderGivenAgainAfterTheListingTakesEffect() {
     Follow({Row("a", "on", kFirst, 101), Removal("a", kFirst, 102)});
--- a/test/policy/returned_row_test.cc
+++ b/test/policy/returned_row_test.cc
@@ -66,8 +66,8 @@
     Expect(Verdict::kNewer, Known(true), {kUnknown, WriterSequence{1000, 8}, false});
   }
 
-  // Guards against requests to an endpoint whose removal was read without the state before it, which
-  // the copy holds.
+  // Guards against requests to an endpoint whose removal was read without the state before it,
+  // which the copy holds.
   void RemovalCoversUnreadStatesOfTheCopy() {
     Expect(Verdict::kOutdated, Known(true), {kUnknown, WriterSequence{1000, 8}});
   }
