--- a/test/command/router/followed_rows_test.cc
+++ b/test/command/router/followed_rows_test.cc
@@ -42,6 +42,7 @@
 /// Keys and values of delivered rows; removed ones without a value.
 std::vector<std::string> Texts(const std::vector<StoreRow>& rows) {
   std::vector<std::string> texts;
+  texts.reserve(rows.size());
   for (const StoreRow& row : rows) texts.push_back(row.key + (row.deleted ? "" : "=" + row.value));
   return texts;
 }
