--- a/src/bamboodock/command/router/followed_rows.h
+++ b/src/bamboodock/command/router/followed_rows.h
@@ -102,12 +102,13 @@
     /// Whether the next listing delivers the row whatever its revision.
     bool undelivered = false;
   };
+
   void UpdateRow(StoreRow row, MonotonicTime now, RowChanges& changes);
   void UpdateReturnedRow(StoreRow row, TrackedRow& tracked, MonotonicTime now, RowChanges& changes);
   ReturnedRowVerdict Judge(const StoreRow& row, const TrackedRow& tracked) const;
   void Apply(StoreRow row, TrackedRow& tracked, RowChanges& changes);
   void Remove(const StoreRow& row, MonotonicTime now, RowChanges& changes);
-  /// Holds the removal of a row back that an older copy lacks.
+  /// Holds back the removal of a row that an older copy lacks.
   void KeepMissing(const std::string& key, StoreEra era, MonotonicTime now, RowChanges& changes);
   /// Whether the row may have come with the copy of its era, and was not written since.
   bool MayBeOfCopy(StoreRevision revision) const;
