--- a/test/process/store_return_fleet_test.cc
+++ b/test/process/store_return_fleet_test.cc
@@ -66,8 +66,7 @@
  private:
   using Entries = std::vector<std::unique_ptr<FollowingEntry>>;
 
-  /// Waits until all entries have the configuration in force and send requests to the endpoint. The
-  /// planned requests stay open, so that a new endpoint is the least loaded one.
+  /// Waits until all entries have the configuration in force and send requests to the endpoint.
   static bool AwaitView(const Entries& entries, std::uint64_t version,
                         const std::string& endpoint) {
     return HoldsWithin(kWaitTimeout, [&] {
--- a/test/process/support/return_plan.h
+++ b/test/process/support/return_plan.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "process/support/play_record.h"
@@ -35,7 +37,7 @@
 /// Steps of a play with returns of the store, chosen by a seed.
 struct ReturnPlan {
   std::vector<PlayStep> steps;
-  /// Number of endpoints that are registered at the begin.
+  /// Number of endpoints that are registered at the start.
   std::size_t first_endpoints = 6;
   /// Endpoints that are alive at the end.
   std::set<std::size_t> alive;
