Join the ended connection threads of the scripted server

ScriptedServer kept each connection's thread until its end, and with it the stack: EndpointStatementsTest, which sends as many requests as the host can, mapped 38 GB alone and 138 GB in a whole run; a process can map about 32,000 stacks. Change: ended threads are joined before the next connection is served.

--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <condition_variable>
 #include <functional>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -56,7 +57,7 @@
     boost::asio::ip::tcp::socket unblock(loop_);
     unblock.connect(acceptor_.local_endpoint(), error);
     thread_.join();
-    for (std::thread& thread : connections_) thread.join();
+    for (Connection& connection : connections_) connection.thread.join();
   }
 
   Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
@@ -77,6 +78,10 @@
 
  private:
   using Socket = boost::asio::ip::tcp::socket;
+  struct Connection {
+    std::thread thread;
+    std::atomic<bool> has_ended{false};
+  };
 
   void AcceptAll() {
     while (true) {
@@ -84,11 +89,25 @@
       boost::system::error_code error;
       acceptor_.accept(socket, error);
       if (stopping_ || error) return;
-      connections_.emplace_back(
-          [this, shared = std::make_shared<Socket>(std::move(socket))] { Serve(*shared); });
+      JoinEnded();
+      Connection& connection = connections_.emplace_back();
+      connection.thread =
+          std::thread([this, &connection, shared = std::make_shared<Socket>(std::move(socket))] {
+            Serve(*shared);
+            connection.has_ended = true;
+          });
     }
   }
 
+  /// A thread keeps its stack until it is joined, and a process can map only so many.
+  void JoinEnded() {
+    connections_.remove_if([](Connection& connection) {
+      if (!connection.has_ended) return false;
+      connection.thread.join();
+      return true;
+    });
+  }
+
   void Serve(Socket& socket) {
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
@@ -156,7 +175,7 @@
   int peer_closes_ = 0;
   std::atomic<std::size_t> bytes_sent_{0};
   std::atomic<bool> stopping_{false};
-  std::vector<std::thread> connections_;
+  std::list<Connection> connections_;
   std::thread thread_;
 };
 
