Keep verdicts on versions beyond the order that led to them

Cause: what an entry knew of a version was a part of its newest rollout order. The next order replaced it, and each version but the new target counted as an old one. An entry that started later had no way to learn of the verdict, since the progress row holds the newest order only.

Change: VersionVerdicts keeps what became of each target (undecided, rejected, accepted); entries merge verdicts through the progress row, and write a row again that lacks one. ChooseRolloutVersions, a pure decision in policy/, says which versions a request may get, by the phase of the order, the verdicts and the session's version. It also covers an order of the version in use, which took all requests away from it. The selection of versions moves from RouteState to VersionSelector.

Why it works: a verdict belongs to the version and the order that named it, so a later order of another version cannot replace it, and merging by the newest order of a version gives the same result in any sequence.

--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -533,13 +533,6 @@
   return count == 0 ? 0 : total / static_cast<double>(count);
 }
 
-bool EndpointPool::HasVersion(const ServiceId& service, const VersionId& version) const {
-  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
-    const EndpointRecord& record = entry.second.record;
-    return record.service == service && record.version == version && !record.draining;
-  });
-}
-
 const std::map<VersionId, std::size_t>& EndpointPool::VersionCounts(const ServiceId& service) {
   const auto known = version_counts_.find(service);
   if (known != version_counts_.end()) return known->second;
@@ -551,6 +544,12 @@
   return versions;
 }
 
+std::vector<VersionId> EndpointPool::Versions(const ServiceId& service) {
+  std::vector<VersionId> versions;
+  for (const auto& [version, count] : VersionCounts(service)) versions.push_back(version);
+  return versions;
+}
+
 std::uint64_t EndpointPool::OpenAtOtherVersions(const ServiceId& service,
                                                 const VersionId& target) const {
   std::uint64_t open = 0;
--- a/src/bamboodock/command/router/endpoint_pool.h
+++ b/src/bamboodock/command/router/endpoint_pool.h
@@ -147,10 +147,10 @@
     return latency_baseline_.Judge(report);
   }
 
-  /// Whether the service has an endpoint of this version that is not draining.
-  bool HasVersion(const ServiceId& service, const VersionId& version) const;
   /// Number of endpoints by version, without draining ones.
   const std::map<VersionId, std::size_t>& VersionCounts(const ServiceId& service);
+  /// Versions with endpoints that do not drain.
+  std::vector<VersionId> Versions(const ServiceId& service);
   /// Open attempts of this entry at endpoints whose version is not `target`.
   std::uint64_t OpenAtOtherVersions(const ServiceId& service, const VersionId& target) const;
   std::size_t size() const { return endpoints_.size(); }
--- a/src/bamboodock/command/router/rollout_controller.cc
+++ b/src/bamboodock/command/router/rollout_controller.cc
@@ -39,9 +39,32 @@
   Rollout rollout{KnownRolloutOrder(order)};
   const auto row = rows_.Find(order.service);
   if (row && row->order_revision == order.revision) Adopt(rollout, *row);
+  const auto previous = rollouts_.find(order.service);
+  if (previous != rollouts_.end()) RememberVerdict(previous->second);
   rollouts_.insert_or_assign(order.service, std::move(rollout));
 }
 
+void RolloutController::MergeVerdict(const ServiceId& service, const VersionVerdict& verdict) {
+  if (!verdicts_[service].Merge(verdict)) return;
+  log_.Write(Event::kVersionVerdict, RequestId(),
+             fmt::format("service={} version={} standing={} order_era={} order={}", service.value(),
+                         verdict.version.value(), Name(verdict.standing), verdict.order.era.value(),
+                         verdict.order.number));
+}
+
+void RolloutController::RememberVerdict(const Rollout& rollout) {
+  const RolloutOrder& order = rollout.order();
+  VersionStanding standing = VersionStanding::kUndecided;
+  if (PhaseOf(rollout) == RolloutPhase::kCompleted) standing = VersionStanding::kAccepted;
+  if (PhaseOf(rollout) == RolloutPhase::kRejected) standing = VersionStanding::kRejected;
+  MergeVerdict(order.service, {order.target, order.revision, standing});
+}
+
+void RolloutController::SetBaseline(const ServiceId& service, const VersionId& version) {
+  if (rollouts_.contains(service) || Verdicts(service).HasAccepted()) return;
+  MergeVerdict(service, {version, {}, VersionStanding::kAccepted});
+}
+
 void RolloutController::ApplyOrder(const RolloutOrder& order) {
   const auto found = rollouts_.find(order.service);
   if (found != rollouts_.end() && found->second.known.Judge(order) == RolloutOrderVerdict::kKnown) {
@@ -63,6 +86,7 @@
   // A finished rollout still defines the active version.
   const auto& progress = found->second.progress;
   if (progress && progress->state != RolloutState::kRunning) return;
+  RememberVerdict(found->second);
   cancelled_.insert_or_assign(service, std::move(found->second));
   rollouts_.erase(found);
 }
@@ -75,6 +99,9 @@
 
 void RolloutController::Apply(const RolloutProgress& progress) {
   rows_.Set(progress);
+  for (const VersionVerdict& verdict : VerdictsOf(progress).List()) {
+    MergeVerdict(progress.service, verdict);
+  }
   const auto found = rollouts_.find(progress.service);
   if (found != rollouts_.end()) Adopt(found->second, progress);
 }
@@ -121,19 +148,56 @@
   return found == rollouts_.end() ? nullptr : &found->second.order();
 }
 
-bool RolloutController::IsTargetExcluded(const ServiceId& service) const {
+std::vector<VersionVerdict> RolloutController::VerdictsFor(const RolloutProgress& progress) const {
+  std::vector<VersionVerdict> verdicts = Verdicts(progress.service).List();
+  // The state of the row says the same.
+  std::erase_if(verdicts, [&](const VersionVerdict& verdict) {
+    return verdict.version == progress.target && IsImplied(verdict);
+  });
+  return verdicts;
+}
+
+RolloutPhase RolloutController::PhaseOf(const Rollout& rollout) {
+  const auto& progress = rollout.progress;
+  if (progress && progress->state == RolloutState::kCompleted) return RolloutPhase::kCompleted;
+  const bool rolled_back = progress && progress->state == RolloutState::kRolledBack;
+  if (rollout.bad || rolled_back) return RolloutPhase::kRejected;
+  if (!progress) return RolloutPhase::kOrdered;
+  return rollout.in_trial ? RolloutPhase::kTrial : RolloutPhase::kMoving;
+}
+
+RolloutPhase RolloutController::Phase(const ServiceId& service) const {
   const auto found = rollouts_.find(service);
-  if (found == rollouts_.end()) return false;
-  const Rollout& rollout = found->second;
-  if (rollout.progress && rollout.progress->state == RolloutState::kCompleted) return false;
-  return rollout.bad || !rollout.progress || rollout.progress->state == RolloutState::kRolledBack;
+  return found == rollouts_.end() ? RolloutPhase::kOrdered : PhaseOf(found->second);
 }
 
-bool RolloutController::IsTargetOnly(const ServiceId& service) const {
+const VersionVerdicts& RolloutController::Verdicts(const ServiceId& service) const {
+  static const VersionVerdicts kNone;
+  const auto found = verdicts_.find(service);
+  return found == verdicts_.end() ? kNone : found->second;
+}
+
+bool RolloutController::IsReference(const ServiceId& service, const VersionId& version) const {
   const auto found = rollouts_.find(service);
-  if (found == rollouts_.end()) return false;
-  const auto& progress = found->second.progress;
-  return progress && progress->state == RolloutState::kCompleted;
+  if (found != rollouts_.end() && found->second.order().target == version) {
+    return PhaseOf(found->second) == RolloutPhase::kCompleted;
+  }
+  const auto standing = Verdicts(service).StandingOf(version);
+  return !standing || *standing == VersionStanding::kAccepted;
+}
+
+void RolloutController::ForgetAbsentVersions(const VersionsOfService& present, MonotonicTime now) {
+  for (auto& [service, verdicts] : verdicts_) verdicts.ForgetAbsent(present(service), now);
+}
+
+bool RolloutController::IsTargetExcluded(const ServiceId& service) const {
+  if (!rollouts_.contains(service)) return false;
+  const RolloutPhase phase = Phase(service);
+  return phase == RolloutPhase::kOrdered || phase == RolloutPhase::kRejected;
+}
+
+bool RolloutController::IsTargetOnly(const ServiceId& service) const {
+  return Phase(service) == RolloutPhase::kCompleted;
 }
 
 bool RolloutController::InTrial(const ServiceId& service) const {
@@ -166,7 +230,8 @@
   const auto found = rollouts_.find(report.service);
   if (found == rollouts_.end()) return nullptr;
   Rollout& rollout = found->second;
-  return rollout.order().target == report.version ? &rollout.own_target : &rollout.own_old;
+  if (rollout.order().target == report.version) return &rollout.own_target;
+  return IsReference(report.service, report.version) ? &rollout.own_old : nullptr;
 }
 
 void RolloutController::OnUnderWay(const AttemptReport& report,
@@ -246,12 +311,13 @@
 }
 
 RolloutProgress RolloutController::InitialProgress(const Rollout& rollout,
-                                                   std::chrono::milliseconds now) {
+                                                   std::chrono::milliseconds now) const {
   RolloutProgress progress;
   progress.service = rollout.order().service;
   progress.target = rollout.order().target;
   progress.order_revision = rollout.order().revision;
   progress.started = now;
+  progress.verdicts = VerdictsFor(progress);
   return progress;
 }
 
@@ -299,18 +365,20 @@
   if (!rollout.progress) {
     return rows_.PrepareWrite(rollout.known, InitialProgress(rollout, store_now));
   }
+  RolloutProgress known = *rollout.progress;
+  known.verdicts = VerdictsFor(known);
   if (rollout.progress->state == RolloutState::kCompleted) {
     rollout.share = 1;
     rollout.in_trial = false;
   } else {
     const RolloutState next = Advance(rollout, store_now, inputs.open_at_old);
     if (next != rollout.progress->state) {
-      RolloutProgress changed = *rollout.progress;
+      RolloutProgress changed = known;
       changed.state = next;
       return rows_.PrepareWrite(rollout.known, std::move(changed));
     }
   }
-  return rows_.PrepareRewrite(rollout.known, *rollout.progress, inputs.rank, store_now);
+  return rows_.PrepareRewrite(rollout.known, known, inputs.rank, store_now);
 }
 
 std::vector<RolloutProgress> RolloutController::Tick(
--- a/src/bamboodock/command/router/rollout_controller.h
+++ b/src/bamboodock/command/router/rollout_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "bamboodock/policy/latency_baseline.h"
 #include "bamboodock/policy/rollout_return.h"
 #include "bamboodock/policy/rollout_schedule.h"
+#include "bamboodock/policy/rollout_versions.h"
 #include "bamboodock/routing/attempt_plan.h"
 #include "bamboodock/routing/operator_orders.h"
 #include "bamboodock/routing/peer_report.h"
@@ -25,16 +27,23 @@
   std::uint32_t rank = 0;
 };
 
+/// Returns the versions of a service that have endpoints.
+using VersionsOfService = std::function<std::vector<VersionId>(const ServiceId&)>;
+
 /// State of all rollouts: traffic share of the new version, evidence from all entries, next state.
 ///
 /// Used on the planning duty's thread only. The state of a rollout is a row in the store that any
 /// entry may update by a conditional write on its revision, so at most one of several concurrent
-/// decisions takes effect. After the store has returned from an older copy, the same order keeps
-/// its evidence, share and state, and what the copy lacks is written again.
+/// decisions takes effect. The row also holds the verdicts on versions of earlier orders, from
+/// which entries that start later learn them. After the store has returned from an older copy, the
+/// same order keeps its evidence, share and state, and what the copy lacks is written again.
 class RolloutController {
  public:
   RolloutController(const ExposureLimits& limits, EventLog& log) : limits_(limits), log_(log) {}
 
+  /// Takes note of the version that served before the first order of the service. Must precede
+  /// `ApplyOrder`.
+  void SetBaseline(const ServiceId& service, const VersionId& version);
   void ApplyOrder(const RolloutOrder& order);
   void Cancel(const ServiceId& service);
   void Apply(const RolloutProgress& progress);
@@ -52,6 +61,15 @@
   std::optional<bool> PrefersTarget(const ServiceId& service, double sample, std::uint32_t entries);
   /// Newest rollout order of the service, whatever its state; null when there is none.
   const RolloutOrder* Find(const ServiceId& service) const;
+  /// Phase of the newest rollout of the service; `kOrdered` when it has none.
+  RolloutPhase Phase(const ServiceId& service) const;
+  /// What is known of versions from the orders before the newest one, from all entries.
+  const VersionVerdicts& Verdicts(const ServiceId& service) const;
+  /// Whether answers of the version show what to expect of the service: not those of a target
+  /// before its rollout is completed, or of a version that was rejected or never decided.
+  bool IsReference(const ServiceId& service, const VersionId& version) const;
+  /// Drops verdicts on versions whose endpoints are gone for good.
+  void ForgetAbsentVersions(const VersionsOfService& present, MonotonicTime now);
   /// Whether the target must not be used.
   bool IsTargetExcluded(const ServiceId& service) const;
   /// Whether only the target may be used.
@@ -110,6 +128,12 @@
   /// Rollout of the same order, as known from before a return; null when the order is a new one.
   Rollout* FindSame(const RolloutOrder& order);
   void Begin(const RolloutOrder& order);
+  /// Keeps what is known of the target of a rollout that ends or makes way for the next order.
+  void RememberVerdict(const Rollout& rollout);
+  void MergeVerdict(const ServiceId& service, const VersionVerdict& verdict);
+  /// Verdicts to write into the row with the progress.
+  std::vector<VersionVerdict> VerdictsFor(const RolloutProgress& progress) const;
+  static RolloutPhase PhaseOf(const Rollout& rollout);
   /// Takes over the progress unless it is that of another order or an earlier state.
   static void Adopt(Rollout& rollout, const RolloutProgress& progress);
   /// Counters of the report's version; null when its service has no rollout.
@@ -123,7 +147,7 @@
                        const RolloutSnapshot& snapshot);
   RolloutSnapshot MakeSnapshot(const Rollout& rollout, std::chrono::milliseconds store_now,
                                std::uint64_t own_open) const;
-  static RolloutProgress InitialProgress(const Rollout& rollout, std::chrono::milliseconds now);
+  RolloutProgress InitialProgress(const Rollout& rollout, std::chrono::milliseconds now) const;
   /// Advances a rollout; returns the progress row to write, if any.
   std::optional<RolloutProgress> Step(Rollout& rollout, std::chrono::milliseconds store_now,
                                       const RolloutInputs& inputs);
@@ -134,6 +158,7 @@
   /// Rollouts whose orders were cancelled before they were decided. The store may return from a
   /// copy that still holds the order.
   std::map<ServiceId, Rollout> cancelled_;
+  std::map<ServiceId, VersionVerdicts> verdicts_;
   RolloutRows rows_;
 };
 
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -1,11 +1,11 @@
 #include "bamboodock/command/router/route_state.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
+#include "bamboodock/command/router/routing_hash.h"
 #include "bamboodock/policy/repeat_rule.h"
 #include "bamboodock/routing/request_deadline.h"
 
@@ -35,31 +35,15 @@
 /// The same for endpoints with their slowdown.
 constexpr std::size_t kMaxSharedSlowdowns = 12;
 
-/// A version without a rollout order is used only after this delay, since its order may arrive
-/// later than its registrations.
-constexpr std::chrono::milliseconds kVersionWithoutOrderDelay{4000};
-
 /// Share of the requests for which a model is asked although its assumed time is too long. Without
 /// them a model that has become faster would never be observed again.
 constexpr Ratio kProbeShare{1.0 / 16};
 
-std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
-
-/// Hash of a text as a number in [0, 1); equal on all entries.
-double SampleFromHash(std::string_view text) {
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(Hash(text)) / kRange;
-}
-
-SessionHash HashSession(const SessionId& session) {
-  return SessionHash(static_cast<std::uint32_t>(Hash(session.value())));
-}
-
 /// Hash of the last prompt part that other requests share; 0 when there is none.
 std::uint64_t AffinityKey(const RequestMetadata& metadata) {
   const auto& parts = metadata.prompt_parts;
   if (parts.size() < 2) return 0;
-  return Hash(parts[parts.size() - 2].id.value()) | 1U;
+  return RoutingHash(parts[parts.size() - 2].id.value()) | 1U;
 }
 
 /// Part of the work that is due to the shared tokens of the prompt.
@@ -78,7 +62,7 @@
 }
 
 RouteHash HashRoute(const RouteId& route) {
-  return RouteHash(static_cast<std::uint32_t>(Hash(route.value())));
+  return RouteHash(static_cast<std::uint32_t>(RoutingHash(route.value())));
 }
 
 /// Position of the model among those of the route; empty when it is not one of them.
@@ -108,6 +92,12 @@
   }
 }
 
+std::function<bool(const VersionId&)> IsOneOf(const std::vector<VersionId>& versions) {
+  return [&versions](const VersionId& version) {
+    return std::find(versions.begin(), versions.end(), version) != versions.end();
+  };
+}
+
 /// Maps the priority of a request to the ten levels of the engine, of which 0 is the most urgent.
 std::uint32_t EnginePriority(Priority priority) { return std::min(priority.value() * 2 + 1, 9U); }
 
@@ -123,7 +113,7 @@
       pool_(identity_.host, identity_.availability_zone, limits.cold_overrun,
             limits.cold_tolerance),
       rollouts_(limits.exposure, log),
-      sessions_(limits.session_timeout),
+      versions_(limits.session_timeout),
       peers_(identity_.host),
       models_(limits.least_confidence),
       prompts_(identity_.host, log) {}
@@ -300,62 +290,6 @@
   return budgets_.try_emplace(service, limits_.repeats).first->second;
 }
 
-RouteState::VersionChoice RouteState::ChooseBaselineVersion(const ServiceId& service) {
-  const auto& versions = pool_.VersionCounts(service);
-  auto known = baseline_.find(service);
-  if (known == baseline_.end() || !versions.contains(known->second)) {
-    if (versions.empty()) return {[](const VersionId&) { return true; }, false, Ratio(1)};
-    const auto most_common = std::max_element(versions.begin(), versions.end(),
-                                              [](auto& a, auto& b) { return a.second < b.second; });
-    known = baseline_.insert_or_assign(service, most_common->first).first;
-  }
-  if (versions.size() <= 1) {
-    without_order_since_.erase(service);
-    return {[](const VersionId&) { return true; }, false, Ratio(1)};
-  }
-  const MonotonicTime now = clock_.Now();
-  const MonotonicTime first_seen = without_order_since_.try_emplace(service, now).first->second;
-  if (now - first_seen > kVersionWithoutOrderDelay) {
-    return {[](const VersionId&) { return true; }, false, Ratio(1)};
-  }
-  return {[version = known->second](const VersionId& other) { return other == version; }, false,
-          Ratio(1)};
-}
-
-RouteState::VersionChoice RouteState::ChooseRolloutVersion(const PlanQuery& query,
-                                                           const RequestProgress& progress,
-                                                           const RolloutOrder& order) {
-  const ServiceId& service = progress.service->id;
-  const VersionId target = order.target;
-  const auto is_new = [target](const VersionId& other) { return other == target; };
-  const auto is_old = [target](const VersionId& other) { return other != target; };
-  if (rollouts_.IsTargetOnly(service)) return {is_new, false, Ratio(1)};
-  if (rollouts_.IsTargetExcluded(service)) return {is_old, false, Ratio(1)};
-  const RequestMetadata& metadata = query.request->metadata;
-  const auto pinned = metadata.session.empty()
-                          ? std::nullopt
-                          : sessions_.Find(service, metadata.session, clock_.Now());
-  const bool trial = rollouts_.InTrial(service);
-  const Ratio subset = trial ? rollouts_.trial_share() : Ratio(1);
-  if (pinned && *pinned == target) return {is_new, false, subset};
-  const std::string& routing_key =
-      metadata.session.empty() ? metadata.attempt.value() : metadata.session.value();
-  const auto prefers =
-      rollouts_.PrefersTarget(service, SampleFromHash(routing_key), peers_.EntryCount());
-  const bool held_back = !metadata.session.empty() &&
-                         rollouts_.IsHeldBack(service, HashSession(metadata.session), clock_.Now());
-  if ((pinned || held_back) && trial) return {is_old, false, Ratio(1)};
-  if (prefers.value_or(false) && pool_.HasVersion(service, target)) return {is_new, trial, subset};
-  return {is_old, !trial, Ratio(1)};
-}
-
-RouteState::VersionChoice RouteState::ChooseVersion(const PlanQuery& query,
-                                                    const RequestProgress& progress) {
-  const RolloutOrder* order = rollouts_.Find(progress.service->id);
-  if (order == nullptr) return ChooseBaselineVersion(progress.service->id);
-  return ChooseRolloutVersion(query, progress, *order);
-}
-
 PlanAnswer RouteState::RefuseWithoutEndpoint(const PlanQuery& query,
                                              const RequestProgress& progress,
                                              const EndpointRequirements& requirements) {
@@ -379,10 +313,11 @@
   const CallerRequest& request = *query.request;
   RepeatBudget& budget = BudgetOf(progress.service->id);
   const Tokens work = EstimateWork(request, *progress.service, model);
-  const VersionChoice choice = ChooseVersion(query, progress);
+  const VersionSelector::Selection versions = versions_.Select(
+      progress.service->id, request.metadata, {rollouts_, pool_, peers_.EntryCount(), now});
   EndpointRequirements requirements;
   requirements.service = progress.service;
-  requirements.allows_version = choice.allows;
+  requirements.allows_version = IsOneOf(versions.preferred);
   requirements.tried = &progress.tried;
   requirements.shared = SharedTokens(request.metadata);
   requirements.work = work;
@@ -391,10 +326,10 @@
       MemoryNeed(request.metadata.prompt_tokens, request.metadata.max_output_tokens);
   requirements.optional = query.reason == PlanReason::kNextModel;
   if (requirements.shared >= kAffinityTokens) requirements.affinity = AffinityKey(request.metadata);
-  requirements.subset_share = choice.subset_share;
+  requirements.subset_share = versions.subset_share;
   PooledEndpoint* endpoint = pool_.Choose(requirements, random_, now);
-  if (endpoint == nullptr && choice.may_fall_back) {
-    requirements.allows_version = [](const VersionId&) { return true; };
+  if (endpoint == nullptr && !versions.fallback.empty()) {
+    requirements.allows_version = IsOneOf(versions.fallback);
     requirements.subset_share = Ratio(1);
     endpoint = pool_.Choose(requirements, random_, now);
   }
@@ -414,9 +349,7 @@
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
   const VersionId& version = endpoint->record.version;
   if (order != nullptr) rollouts_.OnSend(progress.service->id, version == order->target);
-  if (!request.metadata.session.empty()) {
-    sessions_.Set(progress.service->id, request.metadata.session, version, now);
-  }
+  versions_.OnPlanned(progress.service->id, request.metadata, version, now);
 
   AttemptPlan plan;
   plan.endpoint = endpoint->record.id;
@@ -497,10 +430,8 @@
 void RouteState::Apply(const AttemptReport& report) {
   const MonotonicTime now = clock_.Now();
   const LatencyBaseline::Verdict latency = pool_.Judge(report);
-  const RolloutOrder* order = rollouts_.Find(report.service);
-  const bool on_trial = order != nullptr && order->target == report.version &&
-                        !rollouts_.IsTargetOnly(report.service);
-  pool_.OnReport(report, ColdTime(report.service), !on_trial, now);
+  const bool is_reference = rollouts_.IsReference(report.service, report.version);
+  pool_.OnReport(report, ColdTime(report.service), is_reference, now);
   pace_.Learn(report, now);
   if (report.repeat && !report.sent) BudgetOf(report.service).OnUnsent(now);
   rollouts_.OnReport(report, latency);
@@ -536,6 +467,8 @@
     if (!row.evacuation.empty()) ApplyEvacuation(row);
     if (!row.removed_rollout.empty()) rollouts_.Cancel(row.removed_rollout);
     if (row.rollout) {
+      const VersionId* baseline = versions_.Baseline(row.rollout->service);
+      if (baseline != nullptr) rollouts_.SetBaseline(row.rollout->service, *baseline);
       rollouts_.ApplyOrder(*row.rollout);
       log_.Write(Event::kRolloutOrdered, RequestId(),
                  fmt::format("service={} target={} limit_ms={}", row.rollout->service.value(),
@@ -656,8 +589,10 @@
 
 std::vector<RolloutProgress> RouteState::Tick() {
   const MonotonicTime now = clock_.Now();
-  sessions_.Prune(now);
+  versions_.Prune(now);
   slowdown_quantiles_ = pool_.Slowdowns(now);
+  rollouts_.ForgetAbsentVersions(
+      [this](const ServiceId& service) { return pool_.Versions(service); }, now);
   for (const auto& [host, incarnation] : peers_.RemoveSilent(now, kPeerTimeout)) {
     log_.Write(Event::kPeerLost, RequestId(), "host=" + host.value());
     rollouts_.OnEntryEnded(incarnation);
@@ -685,14 +620,8 @@
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
     if (!rollouts_.InTrial(evidence.service)) continue;
-    sessions_.ForEach(evidence.service, clock_.Now(),
-                      [&](const auto& session, const auto& version) {
-                        const bool in_trial_share =
-                            SampleFromHash(session.value()) < rollouts_.trial_share().value();
-                        if (in_trial_share && version != order->target) {
-                          evidence.held_back.push_back(HashSession(session));
-                        }
-                      });
+    evidence.held_back =
+        versions_.HeldBack(evidence.service, order->target, rollouts_.trial_share(), clock_.Now());
   }
   return report;
 }
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -10,7 +10,7 @@
 #include "bamboodock/command/router/rollout_controller.h"
 #include "bamboodock/command/router/route_commands.h"
 #include "bamboodock/command/router/router_limits.h"
-#include "bamboodock/command/router/session_pins.h"
+#include "bamboodock/command/router/version_selector.h"
 #include "bamboodock/core/clock.h"
 #include "bamboodock/observe/event_log.h"
 #include "bamboodock/policy/model_acceptances.h"
@@ -84,14 +84,6 @@
   std::size_t quarantined_prompt_parts() const { return prompts_.quarantined_count(); }
 
  private:
-  struct VersionChoice {
-    std::function<bool(const VersionId&)> allows;
-    /// Whether other versions may be used when no endpoint of the allowed ones is usable.
-    bool may_fall_back = false;
-    /// Share of the usable endpoints that may be chosen.
-    Ratio subset_share{1.0};
-  };
-
   PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail) const;
   PlanAnswer Refuse(const PlanQuery& query, ResultCode code, std::string detail,
                     Duration retry_after) const;
@@ -100,10 +92,6 @@
                                    const EndpointRequirements& requirements);
   PlanAnswer ResolveRequest(const PlanQuery& query, RequestProgress& progress) const;
   PlanAnswer ChooseAttempt(const PlanQuery& query, const ModelId& model, RequestProgress progress);
-  VersionChoice ChooseVersion(const PlanQuery& query, const RequestProgress& progress);
-  VersionChoice ChooseRolloutVersion(const PlanQuery& query, const RequestProgress& progress,
-                                     const RolloutOrder& order);
-  VersionChoice ChooseBaselineVersion(const ServiceId& service);
   const RoutedService* ChooseService(const PlanQuery& query, const Route& route) const;
   /// Whether the confidence of the answer in hand is too low at the present load.
   EscalationConditions ConditionsOf(const ServiceId& service);
@@ -145,17 +133,13 @@
   EndpointPool pool_;
   SlowdownQuantiles slowdown_quantiles_;
   RolloutController rollouts_;
-  SessionPins sessions_;
+  VersionSelector versions_;
   PeerView peers_;
   ModelChoice models_;
   ModelAcceptances acceptances_;
   StreamPace pace_;
   PromptGuard prompts_;
   std::map<ServiceId, RepeatBudget> budgets_;
-  /// Active version by service when there is no rollout.
-  std::map<ServiceId, VersionId> baseline_;
-  /// When a version without a rollout order was first seen, by service.
-  std::map<ServiceId, MonotonicTime> without_order_since_;
 };
 
 }  // namespace bamboodock
--- a/src/bamboodock/observe/event.cc
+++ b/src/bamboodock/observe/event.cc
@@ -94,6 +94,7 @@
     EventName{Event::kRemovalDeferred, "removal_deferred"},
     EventName{Event::kRateLimitChanged, "rate_limit_changed"},
     EventName{Event::kLoadReportUnreadable, "load_report_unreadable"},
+    EventName{Event::kVersionVerdict, "version_verdict"},
 };
 
 }  // namespace
--- a/src/bamboodock/observe/event.h
+++ b/src/bamboodock/observe/event.h
@@ -97,6 +97,7 @@
   kRemovalDeferred = 731,
   kRateLimitChanged = 732,
   kLoadReportUnreadable = 735,
+  kVersionVerdict = 736,
 };
 
 /// Stable name of an event in the log, for example "attempt_admitted".
--- a/src/bamboodock/policy/rollout_return.cc
+++ b/src/bamboodock/policy/rollout_return.cc
@@ -57,6 +57,21 @@
   return is_running && progress.started < other.started;
 }
 
+VersionVerdicts VerdictsOf(const RolloutProgress& row) {
+  VersionVerdicts verdicts;
+  for (const VersionVerdict& verdict : row.verdicts) verdicts.Merge(verdict);
+  if (row.state == RolloutState::kRunning) return verdicts;
+  const bool completed = row.state == RolloutState::kCompleted;
+  verdicts.Merge({row.target,
+                  {StoreEra(), row.order_revision.number},
+                  completed ? VersionStanding::kAccepted : VersionStanding::kRejected});
+  return verdicts;
+}
+
+bool IsImplied(const VersionVerdict& verdict) {
+  return verdict.order.era == StoreEra() && verdict.order.number > 0;
+}
+
 RolloutRowVerdict JudgeRolloutRow(const KnownRolloutOrder& known,
                                   const std::optional<RolloutProgress>& progress,
                                   const std::optional<RolloutProgress>& row) {
@@ -68,7 +83,9 @@
   }
   const bool is_behind = progress && IsFurther(*progress, *row);
   const bool is_named = row->order_revision.number == number;
-  return is_behind || !is_named ? RolloutRowVerdict::kOutdated : RolloutRowVerdict::kCurrent;
+  const bool lacks_verdict = progress && !VerdictsOf(*row).Includes(progress->verdicts);
+  return is_behind || !is_named || lacks_verdict ? RolloutRowVerdict::kOutdated
+                                                 : RolloutRowVerdict::kCurrent;
 }
 
 std::chrono::milliseconds RewriteDelay(std::uint32_t rank) {
--- a/src/bamboodock/policy/rollout_return.h
+++ b/src/bamboodock/policy/rollout_return.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "bamboodock/core/store_revision.h"
+#include "bamboodock/policy/version_verdicts.h"
 #include "bamboodock/routing/operator_orders.h"
 
 namespace bamboodock {
@@ -53,11 +54,18 @@
 /// than running, or running since an earlier time. Neither of two final states is further.
 bool IsFurther(const RolloutProgress& progress, const RolloutProgress& other);
 
+/// Verdicts that the row states: those in its list, and the one on its target that its state
+/// implies. The latter yields to any verdict with an era, since a copy may hold an old row.
+VersionVerdicts VerdictsOf(const RolloutProgress& row);
+
+/// Whether the verdict was derived from the state of a row.
+bool IsImplied(const VersionVerdict& verdict);
+
 /// What the store holds of a rollout, compared with what an entry knows.
 enum class RolloutRowVerdict : std::uint8_t {
   kCurrent,
-  /// Missing, of an earlier order, behind the known progress or under an earlier revision of the
-  /// order.
+  /// Missing, of an earlier order, behind the known progress, without a known verdict or under an
+  /// earlier revision of the order.
   kOutdated,
   /// Of an order that this entry has yet to read; must not be written over.
   kOfNewerOrder,
--- a/test/platform/platform_directory_codec_test.cc
+++ b/test/platform/platform_directory_codec_test.cc
@@ -180,6 +180,8 @@
     progress.state = RolloutState::kRolledBack;
     progress.started = std::chrono::milliseconds(7000);
     progress.revision = {kEra, 55};
+    progress.verdicts = {{VersionId("v3"), {StoreEra(2), 30}, VersionStanding::kRejected},
+                         {VersionId("v1"), {}, VersionStanding::kAccepted}};
     const auto writes = PlatformDirectoryCodec().EncodeProgress(progress);
     CPPUNIT_ASSERT(writes[0].expected_revision == progress.revision);
     CPPUNIT_ASSERT(writes[1].row.table == "status" && writes[1].row.key == "rollout/s1");
@@ -191,6 +193,7 @@
     CPPUNIT_ASSERT(read->order_revision == progress.order_revision &&
                    read->revision == row.revision);
     CPPUNIT_ASSERT(read->started == std::chrono::milliseconds(7000));
+    CPPUNIT_ASSERT(read->verdicts == progress.verdicts);
   }
 
   // Guards against a lost state that is never written again, since its removal is not seen, and
@@ -212,7 +215,10 @@
          {"", "[]", "{}", R"({"target":7,"orderRevision":1,"state":0,"startedMs":1})",
           R"({"target":"v2","orderRevision":"x","state":0,"startedMs":1})",
           R"({"target":"v2","orderRevision":1,"state":3,"startedMs":1})",
-          R"({"target":"v2","orderRevision":1,"state":-1,"startedMs":1})"}) {
+          R"({"target":"v2","orderRevision":1,"state":-1,"startedMs":1})",
+          R"({"target":"v2","orderRevision":1,"state":0,"startedMs":1,"verdicts":[7]})",
+          R"({"target":"v2","orderRevision":1,"state":0,"startedMs":1,"verdicts":[
+              {"version":"v1","orderEra":1,"orderRevision":1,"standing":3}]})"}) {
       const StoreRow row = Row("bamboodock", "rollout/s1", value);
       CPPUNIT_ASSERT_MESSAGE(value, FailsWithBadMessage([&] { return codec.DecodeProgress(row); }));
     }
