Hold a session's version while its request runs

Cause: SessionPins counted the timeout from the plan of a request, and nothing renewed a pin while the request ran. The other entries are told of sessions from the same pins, so they let them change too.

Change: a pin counts the requests of its session that run, and the timeout starts when the last one ends. RequestExchange reports each end, however the request ended. A report may be lost, so a request counts as ended at its deadline.

Why it works: the rule is on the time between the end of a request and the next one, and the pin now measures that time.

--- a/src/bamboodock/command/router/planning_duty.h
+++ b/src/bamboodock/command/router/planning_duty.h
@@ -45,6 +45,7 @@
   void On(AttemptReport& report) { state_.Apply(report); }
   void On(PromptReport& report) { state_.Apply(report); }
   void On(ConfidenceReport& report) { state_.Apply(report); }
+  void On(SessionRequestEnd& end) { state_.Apply(end); }
   void On(PromptEvidenceReport& report) { state_.Apply(report); }
   void On(RateLimitReport& report) { state_.Apply(report); }
   void PublishStatus();
--- a/src/bamboodock/command/router/request_exchange.cc
+++ b/src/bamboodock/command/router/request_exchange.cc
@@ -157,6 +157,12 @@
   ReportPrompt(plan, PromptFate::kUnderWay);
 }
 
+void RequestExchange::ReportSessionRequestEnd() {
+  const SessionId& session = request_->metadata.session;
+  if (session.empty() || planned_service_.empty()) return;
+  Post(SessionRequestEnd{planned_service_, session});
+}
+
 void RequestExchange::ReportPrompt(const AttemptPlan& plan, PromptFate fate) {
   if (request_->metadata.prompt_parts.size() < 2) return;
   Post(PromptReport{request_, plan.endpoint, plan.started, fate});
@@ -182,6 +188,7 @@
   co_await pending_plan_->timer().async_wait(CaptureError(error));
   if (pending_plan_->answer()) answer = std::move(*pending_plan_->answer());
   pending_plan_.reset();
+  if (answer.plan) planned_service_ = answer.plan->progress.service->id;
   co_return answer;
 }
 
@@ -200,6 +207,12 @@
 }
 
 asio::awaitable<bool> RequestExchange::Run() {
+  const bool reusable = co_await Serve();
+  ReportSessionRequestEnd();
+  co_return reusable;
+}
+
+asio::awaitable<bool> RequestExchange::Serve() {
   PlanAnswer answer = co_await RequestFirstPlan();
   while (true) {
     if (IsAbandoned()) {
--- a/src/bamboodock/command/router/request_exchange.h
+++ b/src/bamboodock/command/router/request_exchange.h
@@ -50,6 +50,7 @@
     }
   };
 
+  asio::awaitable<bool> Serve();
   asio::awaitable<PlanAnswer> RequestPlan(PlanReason reason, ModelId model,
                                           std::uint32_t confidence = 0);
   /// Plan of the first attempt. Asks repeatedly for a short time while the configuration is missing
@@ -100,6 +101,8 @@
   /// Logs the parts of the prompt when the answer was lost before it was under way.
   void LogLostPrompt(const AttemptPlan& plan);
   void ReportUnderWay(const AttemptPlan& plan);
+  /// Reports that the request has ended, if it belongs to a session and an attempt was planned.
+  void ReportSessionRequestEnd();
   /// Reports what became of the prompt, if it has parts that other requests may share.
   void ReportPrompt(const AttemptPlan& plan, PromptFate fate);
   void Post(RouteCommand report);
@@ -115,6 +118,8 @@
   bool route_sets_deadline_ = false;
 
   RequestProgress progress_;
+  /// Service of the planned attempts; empty before the first one.
+  ServiceId planned_service_;
   Ref<PendingPlan> pending_plan_;
   Ref<EndpointCall> call_;
   EventSplitter events_;
--- a/src/bamboodock/command/router/route_commands.h
+++ b/src/bamboodock/command/router/route_commands.h
@@ -93,8 +93,15 @@
   std::uint32_t confidence = 0;
 };
 
-using RouteCommand = std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport,
-                                  PromptReport, ConfidenceReport, OperatorDelta, EndpointDelta,
-                                  RouterDelta, PeerReport, PromptEvidenceReport, RateLimitReport>;
+/// Reports the end of a request of a session for which an attempt was planned, however it ended.
+struct SessionRequestEnd {
+  ServiceId service;
+  SessionId session;
+};
+
+using RouteCommand =
+    std::variant<PlanQuery, HeadReport, UnderWayReport, AttemptReport, PromptReport,
+                 ConfidenceReport, SessionRequestEnd, OperatorDelta, EndpointDelta, RouterDelta,
+                 PeerReport, PromptEvidenceReport, RateLimitReport>;
 
 }  // namespace bamboodock
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -349,7 +349,13 @@
   const RolloutOrder* order = rollouts_.Find(progress.service->id);
   const VersionId& version = endpoint->record.version;
   if (order != nullptr) rollouts_.OnSend(progress.service->id, version == order->target);
-  versions_.OnPlanned(progress.service->id, request.metadata, version, now);
+  const SessionId& session = request.metadata.session;
+  if (query.reason == PlanReason::kFirst) {
+    versions_.OnFirstAttempt(progress.service->id, session, version,
+                             RequestDeadline(request, progress.route));
+  } else {
+    versions_.OnNextAttempt(progress.service->id, session, version);
+  }
 
   AttemptPlan plan;
   plan.endpoint = endpoint->record.id;
@@ -419,6 +425,10 @@
   pace_.Learn(report.attempt, clock_.Now());
 }
 
+void RouteState::Apply(const SessionRequestEnd& end) {
+  versions_.OnRequestEnd(end.service, end.session, clock_.Now());
+}
+
 void RouteState::Apply(const ConfidenceReport& report) {
   const Route& route = *report.progress.route;
   const auto model = PositionOf(route, report.model);
--- a/src/bamboodock/command/router/route_state.h
+++ b/src/bamboodock/command/router/route_state.h
@@ -44,6 +44,7 @@
   void Apply(const AttemptReport& report);
   void Apply(const PromptReport& report) { prompts_.Apply(report, clock_.Now()); }
   void Apply(const ConfidenceReport& report);
+  void Apply(const SessionRequestEnd& end);
   void Apply(const OperatorDelta& delta);
   void Apply(const EndpointDelta& delta);
   void Apply(const RouterDelta& delta);
--- a/src/bamboodock/command/router/version_selector.cc
+++ b/src/bamboodock/command/router/version_selector.cc
@@ -79,9 +79,19 @@
   return SelectInRollout(service, request, *order, inputs);
 }
 
-void VersionSelector::OnPlanned(const ServiceId& service, const RequestMetadata& request,
-                                const VersionId& version, MonotonicTime now) {
-  if (!request.session.empty()) sessions_.Set(service, request.session, version, now);
+void VersionSelector::OnFirstAttempt(const ServiceId& service, const SessionId& session,
+                                     const VersionId& version, MonotonicTime deadline) {
+  if (!session.empty()) sessions_.Begin(service, session, version, deadline);
+}
+
+void VersionSelector::OnNextAttempt(const ServiceId& service, const SessionId& session,
+                                    const VersionId& version) {
+  sessions_.Change(service, session, version);
+}
+
+void VersionSelector::OnRequestEnd(const ServiceId& service, const SessionId& session,
+                                   MonotonicTime now) {
+  sessions_.End(service, session, now);
 }
 
 const VersionId* VersionSelector::Baseline(const ServiceId& service) const {
--- a/src/bamboodock/command/router/version_selector.h
+++ b/src/bamboodock/command/router/version_selector.h
@@ -38,9 +38,15 @@
   explicit VersionSelector(Duration session_timeout) : sessions_(session_timeout) {}
 
   Selection Select(const ServiceId& service, const RequestMetadata& request, Inputs inputs);
-  /// Takes note of the version to which a request of a session is sent.
-  void OnPlanned(const ServiceId& service, const RequestMetadata& request, const VersionId& version,
-                 MonotonicTime now);
+  /// Takes note of the version to which the first attempt of a request is sent.
+  ///
+  /// @param deadline When the request is given up.
+  void OnFirstAttempt(const ServiceId& service, const SessionId& session, const VersionId& version,
+                      MonotonicTime deadline);
+  /// Takes note of the version to which a later attempt is sent.
+  void OnNextAttempt(const ServiceId& service, const SessionId& session, const VersionId& version);
+  /// Takes note of the end of a request with an attempt.
+  void OnRequestEnd(const ServiceId& service, const SessionId& session, MonotonicTime now);
   /// Version that the service uses while it has no rollout order; null when none is known.
   const VersionId* Baseline(const ServiceId& service) const;
   /// Sessions of the target's trial share that run on another version.
--- a/test/command/router/rejected_version_test.cc
+++ b/test/command/router/rejected_version_test.cc
@@ -333,12 +333,12 @@
     report.head_latency = milliseconds(50);
     return report;
   }
-  /// Plans an attempt of a request and ends it.
-  static std::string VersionOf(RouteState& entry, const std::string& session,
-                               const std::string& attempt) {
+  /// Plans a request and ends it; returns the version that it got.
+  std::string VersionOf(RouteState& entry, const std::string& session, const std::string& attempt) {
     auto request = MakeRef<CallerRequest>();
     request->host = "h.example";
     request->target = "/a/";
+    request->arrived = clock_->Now();
     request->metadata.attempt = AttemptId(attempt);
     request->metadata.session = SessionId(session);
     PlanQuery query;
@@ -349,6 +349,7 @@
         Answer(answer.plan->version.value(), answer.plan->endpoint, AttemptOutcome::kCancelled);
     end.head_latency.reset();
     entry.Apply(end);
+    entry.Apply(SessionRequestEnd{kService, SessionId(session)});
     return answer.plan->version.value();
   }
   std::string VersionOf(const std::string& session) {
@@ -361,7 +362,7 @@
     }
   }
   /// Versions that requests without a session get.
-  static Versions UsedBy(RouteState& entry) {
+  Versions UsedBy(RouteState& entry) {
     Versions versions;
     for (int i = 0; i < 200; ++i) versions.insert(VersionOf(entry, "", "a" + std::to_string(i)));
     return versions;
--- a/test/fakes/planned_router.h
+++ b/test/fakes/planned_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
@@ -63,6 +64,8 @@
 
   NetworkDuty& network() { return network_; }
   const RouterCounters& counters() const { return counters_; }
+  /// Number of requests of sessions whose end was reported.
+  int session_ends() const { return session_ends_; }
   void Plan(const Address& endpoint) { endpoints_.push_back(endpoint); }
   /// Plans an attempt that must not be sent any more.
   void PlanExpired(const Address& endpoint) {
@@ -104,6 +107,7 @@
   }
 
   bool Receive(RouteCommand command) {
+    if (std::holds_alternative<SessionRequestEnd>(command)) ++session_ends_;
     auto* query = std::get_if<PlanQuery>(&command);
     if (query == nullptr) return true;
     reasons.push_back(query->reason);
@@ -139,6 +143,7 @@
   BootClock clock_;
   NullEventLog log_;
   RouterCounters counters_;
+  std::atomic<int> session_ends_{0};
   NetworkDuty network_;
   boost::asio::io_context loop_;
 };
