Tell held-back sessions in parts that fit into a datagram

What callers would see: with several hundred sessions of the trial's share at one entry, its reports were longer than a datagram. Receivers dropped them whole, so sessions changed their version at other entries, and the evidence about the target was lost too.

Cause: a report listed all sessions that are held back. Pins that hold while a request runs make the list longer.

Change: a report names at most 60 sessions, and the next one continues where it has ended. A receiver holds a session for the session timeout, some 20 reports.

--- a/src/bamboodock/command/router/peer_duty.h
+++ b/src/bamboodock/command/router/peer_duty.h
@@ -27,6 +27,9 @@
 /// Messages are cumulative, so lost, delayed and duplicated datagrams are harmless.
 class PeerDuty {
  public:
+  /// Size in bytes up to which datagrams are received whole.
+  static constexpr std::size_t kMaxDatagramSize = 1400;
+
   /// @param on_message Called on the duty's thread for each message; must not block.
   PeerDuty(PeerRecord self, std::function<void(PeerMessage)> on_message, const Clock& clock,
            EventLog& log);
@@ -38,8 +41,6 @@
   bool Post(PeerCommand command) { return inbox_.TryPush(std::move(command)); }
 
  private:
-  static constexpr std::size_t kMaxDatagramSize = 1400;
-
   void HandleCommand(PeerCommand& command);
   void On(const PeerReport& report) { Send(EncodePeerReport(report), next_for_reports_); }
   void On(const PromptEvidenceReport& report) {
--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kMaxPendingEndpoints = 24;
 /// The same for endpoints with their slowdown.
 constexpr std::size_t kMaxSharedSlowdowns = 12;
+/// The same for sessions that are held back, over all services.
+constexpr std::size_t kMaxHeldBack = 60;
 
 /// Share of the requests for which a model is asked although its assumed time is too long. Without
 /// them a model that has become faster would never be observed again.
@@ -630,8 +632,8 @@
     const RolloutOrder* order = rollouts_.Find(evidence.service);
     evidence.open_at_old = pool_.OpenAtOtherVersions(evidence.service, order->target);
     if (!rollouts_.InTrial(evidence.service)) continue;
-    evidence.held_back =
-        versions_.HeldBack(evidence.service, order->target, rollouts_.trial_share(), clock_.Now());
+    evidence.held_back = versions_.TakeHeldBack(
+        *order, rollouts_.trial_share(), kMaxHeldBack / report.rollouts.size(), clock_.Now());
   }
   return report;
 }
--- a/src/bamboodock/command/router/version_selector.cc
+++ b/src/bamboodock/command/router/version_selector.cc
@@ -99,14 +99,19 @@
   return found == baseline_.end() ? nullptr : &found->second;
 }
 
-std::vector<SessionHash> VersionSelector::HeldBack(const ServiceId& service,
-                                                   const VersionId& target, Ratio trial_share,
-                                                   MonotonicTime now) const {
+std::vector<SessionHash> VersionSelector::TakeHeldBack(const RolloutOrder& order, Ratio trial_share,
+                                                       std::size_t max_count, MonotonicTime now) {
   std::vector<SessionHash> held_back;
-  sessions_.ForEach(service, now, [&](const SessionId& session, const VersionId& version) {
+  sessions_.ForEach(order.service, now, [&](const SessionId& session, const VersionId& version) {
     const bool in_trial_share = SampleFromHash(session.value()) < trial_share.value();
-    if (in_trial_share && version != target) held_back.push_back(HashSession(session));
+    if (in_trial_share && version != order.target) held_back.push_back(HashSession(session));
   });
+  if (held_back.size() <= max_count) return held_back;
+  std::size_t& told = held_back_told_[order.service];
+  const auto first = static_cast<std::ptrdiff_t>(told % held_back.size());
+  std::rotate(held_back.begin(), held_back.begin() + first, held_back.end());
+  held_back.resize(max_count);
+  told += max_count;
   return held_back;
 }
 
--- a/src/bamboodock/command/router/version_selector.h
+++ b/src/bamboodock/command/router/version_selector.h
@@ -49,9 +49,10 @@
   void OnRequestEnd(const ServiceId& service, const SessionId& session, MonotonicTime now);
   /// Version that the service uses while it has no rollout order; null when none is known.
   const VersionId* Baseline(const ServiceId& service) const;
-  /// Sessions of the target's trial share that run on another version.
-  std::vector<SessionHash> HeldBack(const ServiceId& service, const VersionId& target,
-                                    Ratio trial_share, MonotonicTime now) const;
+  /// Sessions of the target's trial share that run on another version, at most `max_count`. When
+  /// there are more, each call continues where the one before has ended.
+  std::vector<SessionHash> TakeHeldBack(const RolloutOrder& order, Ratio trial_share,
+                                        std::size_t max_count, MonotonicTime now);
   void Prune(MonotonicTime now) { sessions_.Prune(now); }
 
  private:
@@ -64,6 +65,8 @@
   std::map<ServiceId, VersionId> baseline_;
   /// When a version without a rollout order was first seen, by service.
   std::map<ServiceId, MonotonicTime> without_order_since_;
+  /// Sessions that `TakeHeldBack` has returned so far, by service.
+  std::map<ServiceId, std::size_t> held_back_told_;
 };
 
 }  // namespace bamboodock
--- a/test/command/router/running_session_test.cc
+++ b/test/command/router/running_session_test.cc
@@ -2,6 +2,8 @@
 
 #include <memory>
 
+#include "bamboodock/codec/peer_codec.h"
+#include "bamboodock/command/router/peer_duty.h"
 #include "bamboodock/command/router/route_state.h"
 #include "fakes/fake_clock.h"
 #include "fakes/fake_event_log.h"
@@ -23,7 +25,7 @@
   record.address = {"10.0.0.1", 80};
   record.availability_zone = AvailabilityZoneId("z1");
   record.version = VersionId(version);
-  record.slots = Concurrency(1000);
+  record.slots = Concurrency(10000);
   record.started = StartTime(1);
   return record;
 }
@@ -68,6 +70,7 @@
   CPPUNIT_TEST(SessionStaysWhileItsRequestRuns);
   CPPUNIT_TEST(OtherEntryIsToldOfRunningRequests);
   CPPUNIT_TEST(ShortRequestBesideALongOneKeepsTheSession);
+  CPPUNIT_TEST(ManySessionsAreToldInParts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,21 +79,21 @@
     log_ = std::make_unique<FakeEventLog>();
     entry_ = StartEntry("h1");
     other_ = StartEntry("h2");
-    for (int session = 0; session < kSessions; ++session) Send(*entry_, session);
+    Send(*entry_, 0, kSessions);
   }
 
   // Guards against sessions that change to the version on trial, since their pin ends while their
   // request runs (review/8).
   void SessionStaysWhileItsRequestRuns() {
     BeginTrial();
-    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*entry_));
+    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*entry_, kSessions));
   }
 
   // The same for the next request of the session through another entry.
   void OtherEntryIsToldOfRunningRequests() {
     BeginTrial();
     other_->Apply(entry_->MakeReport());
-    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*other_));
+    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*other_, kSessions));
   }
 
   // Guards against a pin that ends since a short request of the session has ended, while the long
@@ -98,7 +101,21 @@
   void ShortRequestBesideALongOneKeepsTheSession() {
     for (int session = 0; session < kSessions; ++session) EndAttempt(Send(*entry_, session));
     BeginTrial();
-    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*entry_));
+    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*entry_, kSessions));
+  }
+
+  // Guards against reports that each receiver drops, since they do not fit into a datagram.
+  void ManySessionsAreToldInParts() {
+    constexpr int kManySessions = 6000;
+    constexpr int kReports = 6;
+    Send(*entry_, kSessions, kManySessions);
+    BeginTrial();
+    for (int i = 0; i < kReports; ++i) {
+      const PeerReport report = entry_->MakeReport();
+      CPPUNIT_ASSERT(EncodePeerReport(report).size() <= PeerDuty::kMaxDatagramSize);
+      other_->Apply(report);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, CountOnTarget(*other_, kManySessions));
   }
 
  private:
@@ -148,10 +165,13 @@
     report.version = plan.version;
     entry_->Apply(report);
   }
+  void Send(RouteState& entry, int first, int end) {
+    for (int session = first; session < end; ++session) Send(entry, session);
+  }
   /// Sends the next request of each session; returns how many get the target.
-  int CountOnTarget(RouteState& entry) {
+  int CountOnTarget(RouteState& entry, int sessions) {
     int on_target = 0;
-    for (int session = 0; session < kSessions; ++session) {
+    for (int session = 0; session < sessions; ++session) {
       if (Send(entry, session).version == VersionId("v2")) ++on_target;
     }
     return on_target;
