--- a/src/bamboodock/command/router/endpoint_pool.cc
+++ b/src/bamboodock/command/router/endpoint_pool.cc
@@ -545,8 +545,10 @@
 }
 
 std::vector<VersionId> EndpointPool::Versions(const ServiceId& service) {
+  const std::map<VersionId, std::size_t>& counts = VersionCounts(service);
   std::vector<VersionId> versions;
-  for (const auto& [version, count] : VersionCounts(service)) versions.push_back(version);
+  versions.reserve(counts.size());
+  for (const auto& [version, count] : counts) versions.push_back(version);
   return versions;
 }
 
--- a/test/policy/version_verdicts_test.cc
+++ b/test/policy/version_verdicts_test.cc
@@ -53,8 +53,10 @@
   void ResultDoesNotDependOnTheOrderOfMerging() {
     Random random(5);
     for (int play = 0; play < 200; ++play) {
+      constexpr std::size_t kHeard = 12;
       std::vector<VersionVerdict> heard;
-      for (int i = 0; i < 12; ++i) {
+      heard.reserve(kHeard);
+      for (std::size_t i = 0; i < kHeard; ++i) {
         heard.push_back({VersionId("v" + std::to_string(random.Below(5))),
                          At(random.Below(4), random.Below(3)),
                          static_cast<VersionStanding>(random.Below(3))});
