--- a/src/bamboodock/command/router/route_state.cc
+++ b/src/bamboodock/command/router/route_state.cc
@@ -94,6 +94,7 @@
   }
 }
 
+/// @param versions Must outlive the result.
 std::function<bool(const VersionId&)> IsOneOf(const std::vector<VersionId>& versions) {
   return [&versions](const VersionId& version) {
     return std::find(versions.begin(), versions.end(), version) != versions.end();
--- a/test/policy/rollout_versions_test.cc
+++ b/test/policy/rollout_versions_test.cc
@@ -70,7 +70,7 @@
   }
 }
 
-/// Visits all states of a service with up to three versions: 17,920 of them.
+/// Visits all states of a service with up to three versions: 35,840 of them.
 void ForEachState(const std::function<void(const State&)>& visit) {
   constexpr int kSubsets = 8;
   for (const RolloutPhase phase : kPhases) {
